--- a/src/bin/kestrelwing-adapter.rs
+++ b/src/bin/petreldock-adapter.rs
@@ -1,6 +1,6 @@
 //! Hosts instances of the decision module behind the simulator's wire, on standard input and output.
 
-use kestrelwing::wire::Host;
+use petreldock::wire::Host;
 use std::io::{BufRead, Write};
 use std::process::ExitCode;
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,8 +4,8 @@
 //! and starts no thread: time comes in with each event.
 //!
 //! ```
-//! use kestrelwing::interface::*;
-//! use kestrelwing::Controller;
+//! use petreldock::interface::*;
+//! use petreldock::Controller;
 //!
 //! let settings = Settings {
 //!     balancers: 2,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,6 @@
 //! Settings and calls that several tests use.
 
-use kestrelwing::interface::*;
+use petreldock::interface::*;
 
 pub fn settings() -> Settings {
     let class = Class {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::*;
-use kestrelwing::interface::*;
-use kestrelwing::Controller;
+use petreldock::interface::*;
+use petreldock::Controller;
 
 /// A gateway, its clock and the next call's id.
 struct Desk {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::*;
-use kestrelwing::interface::*;
-use kestrelwing::Controller;
+use petreldock::interface::*;
+use petreldock::Controller;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use std::collections::BTreeMap;
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::*;
-use kestrelwing::interface::*;
-use kestrelwing::Controller;
+use petreldock::interface::*;
+use petreldock::Controller;
 
 const SECOND: u64 = 1_000_000;
 const STEP: u64 = 20_000;
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -1,7 +1,7 @@
 //! The wire and the built adapter: round trips, a small dialogue, and what is malformed.
 
-use kestrelwing::interface::*;
-use kestrelwing::wire::{self, Host, Line};
+use petreldock::interface::*;
+use petreldock::wire::{self, Host, Line};
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
 
@@ -30,7 +30,7 @@
 }
 
 fn run(input: &[u8]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_kestrelwing-adapter"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_petreldock-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
