--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,752 @@
+//! The core: owns the module, the call table and the timer wheel, and knows no wire.
+//!
+//! One task runs it ([`run`]). Socket code reaches it through a bounded queue of [`Input`]s, and it
+//! answers through queues. The module decides; the core keeps the books and guards the rules
+//! against bugs elsewhere: one final answer a call, one attempt at a time, the release pause, drains.
+
+mod types;
+pub mod wheel;
+
+pub use types::*;
+
+use crate::config::{Config, Limits, Names};
+use crate::interface::*;
+use crate::Controller;
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::sync::Arc;
+use tokio::sync::{mpsc, watch};
+use tokio::time::{Duration, Instant, MissedTickBehavior};
+use wheel::{Wheel, TICK};
+
+/// How many inputs may wait before socket code has to.
+pub const QUEUE: usize = 4096;
+/// How many answers may wait for a front.
+pub const ANSWERS: usize = 65_536;
+/// Ended calls stay known this long, so that late messages about them are not taken for news.
+const ENDED_KEPT: Micros = Micros(30_000_000);
+/// ... but no more than so many.
+const ENDED_MOST: usize = 32_768;
+/// The front passes its test this long after the start, though not all hubs have told their state.
+const READY_AFTER: Micros = Micros(1_000_000);
+/// Hubs that are gone stay known up to so many, so that one that comes back keeps its id.
+const HUBS_MOST: usize = 4096;
+
+/// The Unix clock: read once, and moved on by the monotonic one, which tests can pause.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    base: Micros,
+    start: Instant,
+}
+
+impl Clock {
+    /// Reads the system's clock.
+    pub fn system() -> Clock {
+        let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+        Clock { base: Micros(since.as_micros() as u64), start: Instant::now() }
+    }
+
+    /// The time now.
+    pub fn now(&self) -> Micros {
+        self.base + Micros(self.start.elapsed().as_micros() as u64)
+    }
+
+    /// The instant of a time, for sleeping until it.
+    pub fn instant(&self, at: Micros) -> Instant {
+        self.start + Duration::from_micros((at - self.base).0)
+    }
+}
+
+/// Opens the link to a hub at an endpoint.
+pub type Connect = Box<dyn FnMut(LinkId, &str) -> mpsc::Sender<ToHub> + Send>;
+
+struct HubState {
+    id: ServerId,
+    uid: String,
+    endpoint: String,
+    place: i64,
+    born: Option<Micros>,
+    phase: Phase,
+    /// When it was told to drain or to be gone.
+    told: Option<Micros>,
+    link: Option<(LinkId, mpsc::Sender<ToHub>)>,
+    heard: bool,
+    fixed: bool,
+}
+
+#[derive(Debug)]
+struct Attempt {
+    link: LinkId,
+    server: ServerId,
+    /// Its number within the call, as the module counts.
+    copy: u32,
+    /// Its own number.
+    number: u64,
+    sent: Micros,
+    /// Set once it is being given up: how it will have ended.
+    ending: Option<Outcome>,
+}
+
+struct Call {
+    id: CallId,
+    name: CallName,
+    front: FrontId,
+    origin: Origin,
+    class: Arc<str>,
+    number: Arc<str>,
+    description: Description,
+    deadline: Micros,
+    /// The final answer is given, or none is owed any more.
+    answered: bool,
+    standing: bool,
+    out: Option<Attempt>,
+    sent: u32,
+    not_before: Micros,
+}
+
+enum Due {
+    Module(u64),
+    Attempt(CallId, u64),
+    Deadline(CallId),
+    Stop,
+}
+
+/// How the core is, for its fronts and for the end of the program.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Status {
+    /// The hubs have told their state, or have had their time to.
+    pub settled: bool,
+    /// The program is to end.
+    pub stopping: bool,
+    /// Calls whose final answer is owed.
+    pub unanswered: usize,
+}
+
+/// The core's whole state. It reads no clock: time comes in.
+pub struct Core {
+    controller: Controller,
+    names: Names,
+    limits: Limits,
+    max_attempts: u32,
+    fronts: Vec<mpsc::Sender<ToFront>>,
+    connect: Connect,
+    status: watch::Sender<Status>,
+    stopping: bool,
+    started: Micros,
+    wheel: Wheel<Due>,
+    calls: BTreeMap<CallId, Call>,
+    by_name: HashMap<CallName, CallId>,
+    ended: HashMap<CallName, Micros>,
+    ended_by_age: VecDeque<(CallName, Micros)>,
+    hubs: Vec<HubState>,
+    links: BTreeMap<LinkId, usize>,
+    last_call: u64,
+    last_attempt: u64,
+    last_link: u64,
+    listed: bool,
+}
+
+impl Core {
+    /// A core that knows no hub yet. `status` is kept up to date for the fronts.
+    pub fn new(
+        config: &Config,
+        fronts: Vec<mpsc::Sender<ToFront>>,
+        connect: Connect,
+        status: watch::Sender<Status>,
+        now: Micros,
+    ) -> Result<Core, SettingsError> {
+        Ok(Core {
+            controller: Controller::new(config.settings.clone(), config.seed, now)?,
+            names: config.names.clone(),
+            limits: config.limits.clone(),
+            max_attempts: config.settings.max_attempts,
+            fronts,
+            connect,
+            status,
+            stopping: false,
+            started: now,
+            wheel: Wheel::new(now),
+            calls: BTreeMap::new(),
+            by_name: HashMap::new(),
+            ended: HashMap::new(),
+            ended_by_age: VecDeque::new(),
+            hubs: Vec::new(),
+            links: BTreeMap::new(),
+            last_call: 0,
+            last_attempt: 0,
+            last_link: 0,
+            listed: false,
+        })
+    }
+
+    /// Calls in the table.
+    pub fn open_calls(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// Adds hubs that no list names or takes away: those of the operator's file.
+    pub fn fix(&mut self, now: Micros, hubs: Vec<Hub>) {
+        for hub in hubs {
+            let index = self.hub(&hub);
+            self.hubs[index].fixed = true;
+        }
+        self.list(now, false, Vec::new());
+    }
+
+    /// Takes one input.
+    pub fn handle(&mut self, now: Micros, input: Input) {
+        match input {
+            Input::Offer(offer) => self.offer(now, offer),
+            Input::Withdrawn(front, origin, name) => {
+                // A lost connection withdraws its own set-ups alone.
+                let known = self.by_name.get(&name).and_then(|id| self.calls.get(id));
+                if known.is_some_and(|c| c.origin == origin) {
+                    self.withdrawn(now, front, name);
+                }
+            }
+            Input::Stop(by) => {
+                self.stopping = true;
+                self.wheel.add(by, Due::Stop);
+            }
+            Input::Hangup(front, name, cause) => self.hangup(now, front, name, cause),
+            Input::Media(front, name, frame) => {
+                let call = self.by_name.get(&name).and_then(|id| self.calls.get(id));
+                let call = call.filter(|c| c.standing && c.front == front);
+                if let Some(out) = call.and_then(|c| c.out.as_ref()) {
+                    let (link, message) = (out.link, ToHub::Media(name, frame));
+                    self.to_hub(link, message);
+                }
+            }
+            Input::Hub(link, from) => self.heard(now, link, from),
+            Input::List(all, hubs) => self.list(now, all, hubs),
+        }
+    }
+
+    /// Hands out what is due.
+    pub fn tick(&mut self, now: Micros) {
+        for due in self.wheel.advance(now) {
+            match due {
+                Due::Module(token) => self.tell(now, Event::Timer(token)),
+                Due::Attempt(id, number) => {
+                    let out = self.calls.get(&id).filter(|c| !c.standing).and_then(|c| c.out.as_ref());
+                    if out.is_some_and(|o| o.number == number && o.ending.is_none()) {
+                        self.give_up(id, Outcome::TimedOut);
+                    }
+                }
+                // Guards the first rule: the module answers a little before; this is for its bugs.
+                Due::Deadline(id) => {
+                    if self.calls.get(&id).is_some_and(|c| !c.answered) {
+                        self.finish(now, Action::Fail(id));
+                    }
+                }
+                // What is open when the program must end is refused, else it would be lost.
+                Due::Stop => {
+                    let open = self.calls.values().filter(|c| !c.answered).map(|c| c.id);
+                    let open: Vec<CallId> = open.collect();
+                    for id in open {
+                        self.finish(now, Action::Refuse(id, Micros(0)));
+                        self.tell(now, Event::Left(id));
+                    }
+                }
+            }
+        }
+        while self.ended_by_age.front().is_some_and(|(_, at)| *at + ENDED_KEPT < now) {
+            self.forget_oldest();
+        }
+        let heard = self.hubs.iter().filter(|h| h.phase == Phase::Up && !h.fixed).all(|h| h.heard);
+        let was = *self.status.borrow();
+        let settled = was.settled || self.listed && heard || self.started + READY_AFTER <= now;
+        let unanswered = self.calls.values().filter(|c| !c.answered).count();
+        let status = Status { settled, stopping: self.stopping, unanswered };
+        if status != was {
+            self.status.send_replace(status);
+        }
+    }
+
+    // ---- callers ----
+
+    fn offer(&mut self, now: Micros, offer: Offer) {
+        if let Some(known) = self.by_name.get(&offer.call).and_then(|id| self.calls.get(id)) {
+            // A repeat on the wire of a set-up that is open: its answer is owed once. One that is over
+            // for its caller, and is still being given up at a hub, must not get a second attempt.
+            if known.answered && !known.standing {
+                self.to_front(offer.front, ToFront::Refuse(offer.origin, offer.call, Micros(0)));
+            }
+            return;
+        }
+        let class = self.names.classes.get(&*offer.class).copied();
+        let Some(class) = class else {
+            return self.to_front(offer.front, ToFront::Fail(offer.origin, offer.call));
+        };
+        if self.calls.len() >= self.limits.max_open {
+            return self.to_front(offer.front, ToFront::Refuse(offer.origin, offer.call, Micros(0)));
+        }
+        self.last_call += 1;
+        let id = CallId(self.last_call);
+        let asked = NewCall {
+            id,
+            class,
+            place: offer.place,
+            number: number_of(&offer.number),
+            deadline: offer.deadline,
+            repeat: offer.repeat,
+            returned: offer.returned,
+            transit: false,
+        };
+        self.by_name.insert(offer.call, id);
+        self.wheel.add(offer.deadline, Due::Deadline(id));
+        let call = Call {
+            id,
+            name: offer.call,
+            front: offer.front,
+            origin: offer.origin,
+            class: offer.class,
+            number: offer.number,
+            description: offer.description,
+            deadline: offer.deadline,
+            answered: false,
+            standing: false,
+            out: None,
+            sent: 0,
+            not_before: Micros(0),
+        };
+        self.calls.insert(id, call);
+        self.tell(now, Event::Call(asked));
+    }
+
+    fn withdrawn(&mut self, now: Micros, front: FrontId, name: CallName) {
+        let Some(id) = self.by_name.get(&name).copied() else { return };
+        let Some(call) = self.calls.get_mut(&id).filter(|c| c.front == front && !c.answered) else { return };
+        call.answered = true;
+        self.tell(now, Event::Left(id));
+        self.give_up(id, Outcome::Withdrawn);
+        self.drop_if_over(now, id);
+    }
+
+    fn hangup(&mut self, now: Micros, front: FrontId, name: CallName, cause: Cause) {
+        let Some(id) = self.by_name.get(&name).copied() else {
+            // A call from before this start: whichever hub has it may hear of its release.
+            if !self.ended.contains_key(&name) {
+                let links: Vec<LinkId> = self.links.keys().copied().collect();
+                links.into_iter().for_each(|link| self.to_hub(link, ToHub::Release(name, cause)));
+                self.remember_ended(now, name);
+            }
+            return;
+        };
+        let standing = self.calls.get(&id).filter(|c| c.front == front && c.standing);
+        if let Some(link) = standing.and_then(|c| c.out.as_ref()).map(|o| o.link) {
+            self.to_hub(link, ToHub::Release(name, cause));
+            self.end_attempt(now, id, Outcome::Withdrawn, false, Report::default());
+        } else {
+            self.withdrawn(now, front, name);
+        }
+    }
+
+    // ---- hubs ----
+
+    fn heard(&mut self, now: Micros, link: LinkId, from: FromHub) {
+        let Some(index) = self.links.get(&link).copied() else { return };
+        let server = self.hubs[index].id;
+        match from {
+            FromHub::Stands(name, description) => self.stands(now, link, name, description),
+            FromHub::Released(name, cause, note, report) => {
+                let Some((id, call)) = self.at_link(link, name) else {
+                    if report != Report::default() {
+                        self.tell(now, Event::Probed(server, Outcome::Success, report));
+                    }
+                    // A call from before this start. Danger: one that ended here must not end twice.
+                    if !self.by_name.contains_key(&name) && !self.ended.contains_key(&name) {
+                        for front in 0..self.fronts.len() {
+                            self.to_front(FrontId(front), ToFront::Release(None, name, cause));
+                        }
+                        self.remember_ended(now, name);
+                    }
+                    return;
+                };
+                let outcome = outcome_of(call.standing, cause, note);
+                if call.standing {
+                    let (front, origin) = (call.front, call.origin);
+                    self.to_front(front, ToFront::Release(Some(origin), name, cause));
+                }
+                self.end_attempt(now, id, outcome, note == Note::Engaged, report);
+            }
+            FromHub::GivenUp { attempt, call, began } => {
+                let ending = self.attempt(call, attempt).map(|(id, out)| (id, out.ending));
+                if let Some((id, ending)) = ending {
+                    // Never begun: it proves that nothing ran, and no pause is due.
+                    let ending = ending.unwrap_or(Outcome::Withdrawn);
+                    let outcome = if began { ending } else { Outcome::Unreachable };
+                    self.end_attempt(now, id, outcome, false, Report::default());
+                }
+            }
+            FromHub::Broken(name, attempt) => self.lost(now, name, attempt, Outcome::Broken),
+            FromHub::Unreachable(name, attempt) => self.lost(now, name, attempt, Outcome::Unreachable),
+            FromHub::NotSent(name, attempt) => self.lost(now, name, attempt, Outcome::Void),
+            FromHub::State(report) => {
+                self.hubs[index].heard = true;
+                self.tell(now, Event::Probed(server, Outcome::Success, report));
+            }
+            FromHub::Dead => self.cut(now, link),
+            FromHub::Media(name, frame) => {
+                let call = self.at_link(link, name).map(|(_, c)| (c.standing, c.front, c.origin));
+                if let Some((true, front, origin)) = call {
+                    self.to_front(front, ToFront::Media(origin, name, frame));
+                }
+            }
+        }
+    }
+
+    fn stands(&mut self, now: Micros, link: LinkId, name: CallName, description: Description) {
+        let id = self.by_name.get(&name).copied();
+        let call = id.and_then(|id| self.calls.get_mut(&id));
+        let out =
+            call.and_then(|c| c.out.as_ref().filter(|o| o.link == link).map(|o| (o.ending, c.standing)));
+        match (id, out) {
+            (Some(_), Some((_, true))) => {}
+            (Some(id), Some((None, false))) if self.calls.get(&id).is_some_and(|c| !c.answered) => {
+                let Some(call) = self.calls.get_mut(&id) else { return };
+                call.answered = true;
+                call.standing = true;
+                call.description = Description::default();
+                let Some(out) = &call.out else { return };
+                let (front, origin, server, copy) = (call.front, call.origin, out.server, out.copy);
+                let took = now - out.sent;
+                self.to_front(front, ToFront::Answer(origin, name, description));
+                self.tell(now, Event::Stands(id, server, copy, took));
+            }
+            // Danger: an answer that crosses the give-up. The hub holds a call that nobody has; it is
+            // released there and never passed on. A give-up still to be written releases it as well.
+            _ => self.to_hub(link, ToHub::Release(name, Cause::NORMAL)),
+        }
+    }
+
+    fn lost(&mut self, now: Micros, name: CallName, attempt: u64, outcome: Outcome) {
+        let Some((id, out)) = self.attempt(name, attempt) else { return };
+        // Given up while its connection was lost: what was decided first counts.
+        let outcome = match (out.ending, outcome) {
+            (Some(ending), Outcome::Broken) => ending,
+            _ => outcome,
+        };
+        if self.calls.get(&id).is_some_and(|c| !c.standing) {
+            self.end_attempt(now, id, outcome, false, Report::default());
+        }
+    }
+
+    /// All that a hub had is over: its process is dead or gone.
+    fn cut(&mut self, now: Micros, link: LinkId) {
+        let had = |c: &&Call| c.out.as_ref().is_some_and(|o| o.link == link);
+        let cut: Vec<CallId> = self.calls.values().filter(had).map(|c| c.id).collect();
+        for id in cut {
+            let Some(call) = self.calls.get(&id) else { continue };
+            if call.standing {
+                let message = ToFront::Release(Some(call.origin), call.name, Cause::TEMPORARY_FAILURE);
+                self.to_front(call.front, message);
+            }
+            self.end_attempt(now, id, Outcome::Broken, false, Report::default());
+        }
+    }
+
+    fn at_link(&self, link: LinkId, name: CallName) -> Option<(CallId, &Call)> {
+        let id = *self.by_name.get(&name)?;
+        let call = self.calls.get(&id)?;
+        call.out.as_ref().filter(|o| o.link == link).map(|_| (id, call))
+    }
+
+    fn attempt(&self, name: CallName, number: u64) -> Option<(CallId, &Attempt)> {
+        let id = *self.by_name.get(&name)?;
+        let out = self.calls.get(&id)?.out.as_ref()?;
+        Some((id, out)).filter(|(_, o)| o.number == number)
+    }
+
+    fn end_attempt(&mut self, now: Micros, id: CallId, outcome: Outcome, number_busy: bool, report: Report) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        let Some(out) = call.out.take() else { return };
+        call.standing = false;
+        if matches!(outcome, Outcome::TimedOut | Outcome::Broken | Outcome::Withdrawn) {
+            call.not_before = now + self.limits.release;
+        }
+        let end = End {
+            id,
+            attempt: out.copy,
+            server: out.server,
+            outcome,
+            over: call.answered,
+            number_busy,
+            report,
+        };
+        self.tell(now, Event::Ended(end));
+        self.drop_if_over(now, id);
+    }
+
+    fn give_up(&mut self, id: CallId, ending: Outcome) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        let name = call.name;
+        let Some(out) = call.out.as_mut().filter(|o| o.ending.is_none()) else { return };
+        out.ending = Some(ending);
+        let (link, number) = (out.link, out.number);
+        self.to_hub(link, ToHub::GiveUp(name, number));
+    }
+
+    fn drop_if_over(&mut self, now: Micros, id: CallId) {
+        if self.calls.get(&id).is_some_and(|c| c.answered && c.out.is_none()) {
+            if let Some(call) = self.calls.remove(&id) {
+                self.by_name.remove(&call.name);
+                self.remember_ended(now, call.name);
+            }
+        }
+    }
+
+    fn remember_ended(&mut self, now: Micros, name: CallName) {
+        self.ended.insert(name, now);
+        self.ended_by_age.push_back((name, now));
+        if self.ended_by_age.len() > ENDED_MOST {
+            self.forget_oldest();
+        }
+    }
+
+    fn forget_oldest(&mut self) {
+        if let Some((name, at)) = self.ended_by_age.pop_front() {
+            if self.ended.get(&name) == Some(&at) {
+                self.ended.remove(&name);
+            }
+        }
+    }
+
+    // ---- the list ----
+
+    fn hub(&mut self, hub: &Hub) -> usize {
+        if let Some(index) = self.hubs.iter().position(|h| h.uid == hub.uid) {
+            return index;
+        }
+        self.hubs.push(HubState {
+            id: ServerId(self.hubs.len() as u64 + 1),
+            uid: hub.uid.clone(),
+            endpoint: hub.endpoint.clone(),
+            place: hub.place,
+            born: hub.born,
+            phase: Phase::Up,
+            told: None,
+            link: None,
+            heard: false,
+            fixed: false,
+        });
+        self.hubs.len() - 1
+    }
+
+    fn list(&mut self, now: Micros, all: bool, hubs: Vec<Hub>) {
+        let mut absent: Vec<usize> = Vec::new();
+        if all {
+            let named = |h: &HubState| h.fixed || hubs.iter().any(|n| n.uid == h.uid);
+            absent = (0..self.hubs.len()).filter(|i| !named(&self.hubs[*i])).collect();
+        }
+        for hub in &hubs {
+            if self.hubs.len() >= HUBS_MOST && !self.hubs.iter().any(|h| h.uid == hub.uid) {
+                continue;
+            }
+            let index = self.hub(hub);
+            let state = &mut self.hubs[index];
+            // A start or an address that differs is another process: what the old one had is cut.
+            let other = state.born != hub.born && hub.phase == Phase::Up
+                || !hub.endpoint.is_empty() && state.endpoint != hub.endpoint;
+            if !hub.endpoint.is_empty() {
+                state.endpoint = hub.endpoint.clone();
+            }
+            state.place = hub.place;
+            state.born = hub.born.or(state.born.filter(|_| hub.phase != Phase::Up));
+            state.phase = hub.phase;
+            if other || hub.phase == Phase::Gone {
+                self.close(now, index);
+            }
+        }
+        for index in absent {
+            self.hubs[index].phase = Phase::Gone;
+            self.close(now, index);
+        }
+        for index in 0..self.hubs.len() {
+            let state = &mut self.hubs[index];
+            if state.phase == Phase::Up && state.link.is_none() {
+                self.last_link += 1;
+                let link = LinkId(self.last_link);
+                state.link = Some((link, (self.connect)(link, &state.endpoint)));
+                self.links.insert(link, index);
+            }
+            let told = match state.phase {
+                Phase::Up => None,
+                _ => Some(state.told.unwrap_or(now)),
+            };
+            if state.told != told {
+                state.told = told;
+                let message = ToHub::NotAfter(told.map(|t| t + self.limits.drain_grace));
+                if let Some(link) = state.link.as_ref().map(|l| l.0) {
+                    self.to_hub(link, message);
+                }
+            }
+        }
+        let entry = |h: &HubState| Entry { server: h.id, place: h.place, phase: h.phase, born: h.born };
+        let (kind, entries) = match self.listed {
+            _ if all => (ListKind::Full, self.hubs.iter().map(entry).collect()),
+            false => (ListKind::Saved, self.hubs.iter().map(entry).collect()),
+            true => {
+                let named = |h: &&HubState| hubs.iter().any(|n| n.uid == h.uid);
+                (ListKind::Changes, self.hubs.iter().filter(named).map(entry).collect())
+            }
+        };
+        self.listed |= all;
+        self.tell(now, Event::List(kind, entries));
+    }
+
+    fn close(&mut self, now: Micros, index: usize) {
+        if let Some((link, sender)) = self.hubs[index].link.take() {
+            let _ = sender.try_send(ToHub::Close);
+            self.cut(now, link);
+            self.links.remove(&link);
+            self.hubs[index].heard = false;
+        }
+    }
+
+    // ---- the module ----
+
+    /// Tells the module, and does what it says; what that leads to at once is told next.
+    fn tell(&mut self, now: Micros, event: Event) {
+        let mut events = VecDeque::from([event]);
+        while let Some(event) = events.pop_front() {
+            let mut actions = Vec::new();
+            self.controller.handle(now, event, &mut actions);
+            for action in actions {
+                match action {
+                    Action::Send(id, server, timeout) => {
+                        if !self.send(now, id, server, timeout) {
+                            let copy = self.calls.get_mut(&id).map_or(0, |c| {
+                                c.sent += 1;
+                                c.sent - 1
+                            });
+                            let over = self.calls.get(&id).is_none_or(|c| c.answered);
+                            events.push_back(Event::Ended(End {
+                                id,
+                                attempt: copy,
+                                server,
+                                outcome: Outcome::Void,
+                                over,
+                                number_busy: false,
+                                report: Report::default(),
+                            }));
+                        }
+                    }
+                    Action::Refuse(..) | Action::Fail(_) => self.finish(now, action),
+                    Action::Cancel(id, copy) => {
+                        let out = self.calls.get(&id).filter(|c| !c.standing).and_then(|c| c.out.as_ref());
+                        if out.is_some_and(|o| o.copy == copy) {
+                            self.give_up(id, Outcome::Withdrawn);
+                        }
+                    }
+                    Action::Timer(at, token) => self.wheel.add(at, Due::Module(token)),
+                    // Session controllers have no way to talk to each other, and the list comes unasked.
+                    Action::Tell(..) | Action::Watch => {}
+                }
+            }
+        }
+    }
+
+    /// Starts an attempt, unless a rule forbids it: the module's gate keeps the rules, and this
+    /// guards them against its bugs and against what happened while its decision was made.
+    fn send(&mut self, now: Micros, id: CallId, server: ServerId, timeout: Micros) -> bool {
+        let hub = self.hubs.iter().find(|h| h.id == server);
+        let Some((hub, (link, sender))) = hub.and_then(|h| h.link.as_ref().map(|l| (h, l))) else {
+            return false;
+        };
+        let Some(call) = self.calls.get_mut(&id) else { return false };
+        let drained = hub.told.is_some_and(|t| t + self.limits.drain_grace <= now);
+        let until = (now + timeout).min(call.deadline);
+        if drained
+            || call.answered
+            || call.out.is_some()
+            || now < call.not_before
+            || until <= now
+            || call.sent >= self.max_attempts
+        {
+            return false;
+        }
+        self.last_attempt += 1;
+        let number = self.last_attempt;
+        let set_up = SetUp {
+            call: call.name,
+            attempt: number,
+            class: call.class.clone(),
+            number: call.number.clone(),
+            until,
+            description: call.description.clone(),
+        };
+        if sender.try_send(ToHub::SetUp(set_up)).is_err() {
+            return false;
+        }
+        call.out = Some(Attempt { link: *link, server, copy: call.sent, number, sent: now, ending: None });
+        call.sent += 1;
+        self.wheel.add(until, Due::Attempt(id, number));
+        true
+    }
+
+    /// Gives a final answer, once.
+    fn finish(&mut self, now: Micros, action: Action) {
+        let (Action::Refuse(id, _) | Action::Fail(id)) = action else { return };
+        let Some(call) = self.calls.get_mut(&id).filter(|c| !c.answered) else { return };
+        call.answered = true;
+        let (front, origin, name) = (call.front, call.origin, call.name);
+        let message = match action {
+            Action::Refuse(_, away) => ToFront::Refuse(origin, name, away),
+            _ => ToFront::Fail(origin, name),
+        };
+        self.to_front(front, message);
+        self.give_up(id, Outcome::Withdrawn);
+        self.drop_if_over(now, id);
+    }
+
+    fn to_front(&self, front: FrontId, message: ToFront) {
+        let Some(sender) = self.fronts.get(front.0) else { return };
+        if let Err(mpsc::error::TrySendError::Full(lost)) = sender.try_send(message) {
+            eprintln!("core: front {} takes nothing, lost {lost:?}", front.0);
+        }
+    }
+
+    fn to_hub(&self, link: LinkId, message: ToHub) {
+        let hub = self.links.get(&link).and_then(|i| self.hubs.get(*i));
+        let Some((_, sender)) = hub.and_then(|h| h.link.as_ref()) else { return };
+        if let Err(mpsc::error::TrySendError::Full(lost)) = sender.try_send(message) {
+            eprintln!("core: hub {} takes nothing, lost {lost:?}", link.0);
+        }
+    }
+}
+
+/// What a release means, before the call stands and after.
+fn outcome_of(standing: bool, cause: Cause, note: Note) -> Outcome {
+    match (standing, cause) {
+        (true, Cause::NORMAL | Cause(31)) => Outcome::Success,
+        (true, _) => Outcome::Broken,
+        (false, Cause::NO_CIRCUIT) if note == Note::Throttled => Outcome::ProcessorFull,
+        (false, Cause::NO_CIRCUIT) => Outcome::Overloaded,
+        (false, Cause::TIMER_EXPIRY) => Outcome::Void,
+        (false, Cause::TEMPORARY_FAILURE) => Outcome::Broken,
+        (false, _) => Outcome::Failure,
+    }
+}
+
+/// The number called, as the module knows it: its hex digits, or a hash of other text.
+fn number_of(text: &str) -> Option<u64> {
+    let hash = |t: &str| {
+        t.bytes().fold(0xcbf2_9ce4_8422_2325, |h: u64, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3))
+    };
+    Some(text).filter(|t| !t.is_empty()).map(|t| u64::from_str_radix(t, 16).unwrap_or_else(|_| hash(t)))
+}
+
+/// Runs the core until every sender of its queue is gone.
+pub async fn run(mut core: Core, mut inputs: mpsc::Receiver<Input>, clock: Clock) {
+    let mut ticks = tokio::time::interval(Duration::from_micros(TICK.0));
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => core.tick(clock.now()),
+            input = inputs.recv() => match input {
+                Some(input) => core.handle(clock.now(), input),
+                None => return,
+            },
+        }
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -96,6 +96,8 @@
     pub may_cancel: bool,
     /// Gateways may send each other messages.
     pub may_tell: bool,
+    /// The longest stay-away that callers obey; nought: they get no such advice.
+    pub max_stay_away: Micros,
     /// This gateway's number among them.
     pub index: u32,
     /// Changes of the list come only to subscribers.
@@ -279,8 +281,8 @@
 pub enum Action {
     /// Start a set-up, with this time-out.
     Send(CallId, ServerId, Micros),
-    /// Final answer: turned away.
-    Refuse(CallId),
+    /// Final answer: turned away, and how long the caller should stay away; nought: no advice.
+    Refuse(CallId, Micros),
     /// Final answer: failed.
     Fail(CallId),
     /// Call an attempt off.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,7 +16,7 @@
 //!     cold_from: 0.4, warm_up: Micros(10_000_000),
 //!     overload_factor: 3.0, overload_for: Micros(1_500_000), release: Micros(300_000),
 //!     resend: Micros(0), max_attempts: 4, may_cancel: true,
-//!     may_tell: false, index: 0, must_subscribe: false,
+//!     max_stay_away: Micros(0), may_tell: false, index: 0, must_subscribe: false,
 //!     own_place: None,
 //! };
 //! let mut actions = Vec::new();
@@ -34,8 +34,11 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod config;
+pub mod core;
 pub mod interface;
 mod logic;
+pub mod net;
 pub mod wire;
 
 pub use logic::Controller;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -375,7 +375,7 @@
         self.arrivals += 1;
         let id = asked.id;
         let Some(class) = self.set.classes.get(asked.class) else {
-            actions.push(Action::Refuse(id));
+            actions.push(Action::Refuse(id, Micros(0)));
             return;
         };
         let (objective, deadline) = (class.objective, class.deadline);
@@ -639,7 +639,7 @@
         let Some(call) = self.calls.remove(&id) else { return };
         self.remember(&call);
         let may_run = call.may_have_run || call.out.is_some();
-        actions.push(if may_run { Action::Fail(id) } else { Action::Refuse(id) });
+        actions.push(if may_run { Action::Fail(id) } else { Action::Refuse(id, Micros(0)) });
     }
 
     /// Danger: callers who dial again are taken for new ones, though their aim runs from the first try.
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,18 +1,89 @@
-//! Starts the session controller: it listens where the platform says and answers nothing yet.
+//! The session controller: wiring and signals only.
 
+use petreldock::config::Config;
+use petreldock::core::{self, Clock, Core, FrontId, Input, Status};
+use petreldock::interface::Micros;
+use petreldock::net::{feed, front, hub};
+use std::io;
 use std::process::ExitCode;
+use tokio::net::TcpSocket;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::{mpsc, watch};
+use tokio::time::{sleep, Duration, Instant};
+
+/// After SIGTERM callers still come for a while; nothing ends before this.
+const STAY: Duration = Duration::from_millis(800);
+/// What is still open this long after SIGTERM is refused: SIGKILL comes no sooner than after 3.7 s.
+const LAST: Duration = Duration::from_millis(3_200);
+/// ... and so long is left for the last answers to be written.
+const FLUSH: Duration = Duration::from_millis(100);
 
 fn main() -> ExitCode {
-    let listen = std::env::var("ROUTER_LISTEN").unwrap_or_default();
-    let listener = match std::net::TcpListener::bind(&listen) {
-        Ok(listener) => listener,
+    let config = match Config::from_environment(|name| std::env::var(name).ok()) {
+        Ok(config) => config,
         Err(error) => {
-            eprintln!("petreldock: ROUTER_LISTEN: cannot listen at '{listen}': {error}");
+            eprintln!("petreldock: {error}");
             return ExitCode::FAILURE;
         }
     };
-    for connection in listener.incoming() {
-        drop(connection);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    match runtime.and_then(|runtime| runtime.block_on(run(config))) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("petreldock: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(config: Config) -> io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let named = |e: io::Error| io::Error::new(e.kind(), format!("listen: {}: {e}", config.listen));
+    let socket = if config.listen.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(config.listen).map_err(named)?;
+    let listener = socket.listen(1024).map_err(named)?;
+
+    let clock = Clock::system();
+    let (inputs, queue) = mpsc::channel(core::QUEUE);
+    let (answers, to_front) = mpsc::channel(core::ANSWERS);
+    let (status, watched) = watch::channel(Status::default());
+    let connect = {
+        let (inputs, limits) = (inputs.clone(), config.limits.clone());
+        Box::new(move |link, endpoint: &str| {
+            hub::start(link, endpoint, limits.clone(), clock, inputs.clone())
+        })
+    };
+    let mut core = Core::new(&config, vec![answers], connect, status, clock.now())
+        .map_err(|e| io::Error::new(io::ErrorKind::InvalidInput, format!("settings: {e}")))?;
+    let mut seq = 0;
+    let known = feed::inputs(config.known.clone(), &mut seq);
+    known.into_iter().for_each(|input| core.handle(clock.now(), input));
+    tokio::spawn(core::run(core, queue, clock));
+    if let Some(address) = config.change_log {
+        tokio::spawn(feed::run(address, seq, inputs.clone()));
+    }
+    let sockets = config.limits.sockets;
+    let serving = front::run(FrontId(0), listener, sockets, clock, inputs.clone(), to_front, watched.clone());
+    eprintln!("petreldock {}: serving at {}", config.name, config.listen);
+    let stop = async {
+        tokio::select! { _ = terminate.recv() => {}, _ = interrupt.recv() => {} }
+        wind_down(inputs, clock, watched).await;
+    };
+    tokio::select! {
+        ended = serving => ended,
+        () = stop => Ok(()),
     }
-    ExitCode::SUCCESS
+}
+
+/// Answers all that is open while callers still come, and ends as soon as nothing is owed.
+async fn wind_down(inputs: mpsc::Sender<Input>, clock: Clock, mut status: watch::Receiver<Status>) {
+    eprintln!("petreldock: ending");
+    let start = Instant::now();
+    let by = clock.now() + Micros(LAST.as_micros() as u64);
+    let _ = inputs.send(Input::Stop(by)).await;
+    sleep(STAY).await;
+    let _ = tokio::time::timeout_at(start + LAST, status.wait_for(|s| s.unanswered == 0)).await;
+    sleep(FLUSH).await;
 }
--- /dev/null
+++ b/src/net/front.rs
@@ -0,0 +1,457 @@
+//! The SIP front: callers' connections, and what goes back to them.
+
+use super::buffer::{Buffer, MESSAGE_MOST};
+use super::sip::{self, Malformed, Message, Start};
+use super::SDP;
+use crate::core::{CallName, Cause, Clock, Description, FrontId, Input, Offer, Origin, Status, ToFront};
+use crate::interface::Micros;
+use bytes::Bytes;
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, watch};
+use tokio::time::{Duration, Instant};
+
+/// Answers that may wait for one connection.
+const COMMANDS: usize = 4096;
+/// A caller that lets so much pile up does not read: its connection is closed.
+const OUTPUT_MOST: usize = 256 * 1024;
+/// Set-ups that may be open on one connection.
+const OPEN_MOST: usize = 4096;
+/// A connection without an open set-up is closed after this.
+const IDLE: Duration = Duration::from_secs(30);
+/// How long to wait before accepting again when descriptors have run out.
+const SHORT: Duration = Duration::from_millis(20);
+/// Releases that may wait for a connection, and how long they do.
+const PARKED_MOST: usize = 8192;
+const PARKED_KEPT: Duration = Duration::from_secs(10);
+/// A release that was written is sent again elsewhere if its connection ends, unheard, within this.
+const RELEASE_UNHEARD: Duration = Duration::from_secs(1);
+/// A caller that does not say how long it waits is taken to wait as long as RFC 3261's timer B.
+const ANSWER_WITHIN: u64 = 32_000;
+/// ... and never longer than this.
+const ANSWER_WITHIN_MOST: u64 = 600_000;
+
+enum ToConnection {
+    Core(ToFront),
+    /// Descriptors are short: end if no set-up is open.
+    CloseIdle,
+}
+
+struct Known {
+    sender: mpsc::Sender<ToConnection>,
+    used: Instant,
+}
+
+/// Who is connected, and what waits for a connection.
+#[derive(Default)]
+struct Board {
+    last: u64,
+    connections: BTreeMap<u64, Known>,
+    parked: VecDeque<(Instant, CallName, Cause)>,
+}
+
+impl Board {
+    /// Hands a message on; gives back an answer whose connection is gone.
+    fn route(&mut self, message: ToFront) -> Option<ToFront> {
+        let origin = match &message {
+            ToFront::Answer(origin, ..)
+            | ToFront::Refuse(origin, ..)
+            | ToFront::Fail(origin, _)
+            | ToFront::Media(origin, ..) => Some(*origin),
+            ToFront::Release(origin, ..) => *origin,
+        };
+        let own = origin.and_then(|o| self.connections.get(&o.0));
+        let message = match own.map(|k| k.sender.try_send(ToConnection::Core(message.clone()))) {
+            Some(Ok(())) => return None,
+            _ => message,
+        };
+        let ToFront::Release(_, call, cause) = message else { return Some(message) };
+        // No connection owns a call that stands: any will do, the one used last first.
+        let mut others: Vec<&Known> = self.connections.values().collect();
+        others.sort_by_key(|k| std::cmp::Reverse(k.used));
+        for other in others {
+            if other.sender.try_send(ToConnection::Core(ToFront::Release(None, call, cause))).is_ok() {
+                return None;
+            }
+        }
+        self.parked.retain(|(since, ..)| since.elapsed() < PARKED_KEPT);
+        if self.parked.len() < PARKED_MOST {
+            self.parked.push_back((Instant::now(), call, cause));
+        }
+        None
+    }
+
+    /// The connection that was used longest ago is asked to end if nothing is open on it.
+    fn shed(&self) {
+        let mut by_use: Vec<&Known> = self.connections.values().collect();
+        by_use.sort_by_key(|k| k.used);
+        for known in by_use.iter().take(8) {
+            let _ = known.sender.try_send(ToConnection::CloseIdle);
+        }
+    }
+}
+
+/// What the front's tasks share.
+struct Front {
+    id: FrontId,
+    listen: SocketAddr,
+    clock: Clock,
+    core: mpsc::Sender<Input>,
+    status: watch::Receiver<Status>,
+    board: Mutex<Board>,
+    connections_most: usize,
+}
+
+impl Front {
+    fn board(&self) -> MutexGuard<'_, Board> {
+        self.board.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Serves callers for ever.
+pub async fn run(
+    id: FrontId,
+    listener: TcpListener,
+    sockets: usize,
+    clock: Clock,
+    core: mpsc::Sender<Input>,
+    mut answers: mpsc::Receiver<ToFront>,
+    status: watch::Receiver<Status>,
+) -> io::Result<()> {
+    let listen = listener.local_addr()?;
+    // Callers hold a third of the descriptors; more are let in as long as the rest is not needed.
+    let connections_most = sockets / 2;
+    let board = Mutex::default();
+    let front = Arc::new(Front { id, listen, clock, core, status, board, connections_most });
+    let deliverer = front.clone();
+    tokio::spawn(async move {
+        while let Some(message) = answers.recv().await {
+            let back = deliverer.board().route(message);
+            // The caller's connection ended as its answer came: nobody has the call.
+            if let Some(ToFront::Answer(_, call, _)) = back {
+                let _ = deliverer.core.send(Input::Hangup(deliverer.id, call, Cause::NORMAL)).await;
+            }
+        }
+    });
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                if front.board().connections.len() >= front.connections_most {
+                    front.board().shed();
+                    continue;
+                }
+                let _ = stream.set_nodelay(true);
+                let (sender, commands) = mpsc::channel(COMMANDS);
+                let number = {
+                    let mut board = front.board();
+                    board.last += 1;
+                    let number = board.last;
+                    board.connections.insert(number, Known { sender, used: Instant::now() });
+                    for (_, call, cause) in std::mem::take(&mut board.parked) {
+                        board.route(ToFront::Release(Some(Origin(number)), call, cause));
+                    }
+                    number
+                };
+                tokio::spawn(serve(front.clone(), number, stream, commands));
+            }
+            // Danger: with no descriptor left, accept fails at once and would take the whole core.
+            Err(error) => {
+                eprintln!("front: cannot accept: {error}");
+                front.board().shed();
+                tokio::time::sleep(SHORT).await;
+            }
+        }
+    }
+}
+
+/// A set-up that is open on a connection.
+struct Open {
+    headers: Vec<(String, String)>,
+}
+
+struct Connection {
+    front: Arc<Front>,
+    number: u64,
+    input: Buffer,
+    output: Vec<u8>,
+    open: HashMap<CallName, Open>,
+    /// Releases written or to be written, with when, till their 200 comes.
+    unheard: VecDeque<(Instant, CallName, Cause)>,
+    /// No more is read; the connection ends once all is written.
+    ending: bool,
+}
+
+async fn serve(
+    front: Arc<Front>,
+    number: u64,
+    stream: TcpStream,
+    mut commands: mpsc::Receiver<ToConnection>,
+) {
+    let mut connection = Connection {
+        front: front.clone(),
+        number,
+        input: Buffer::default(),
+        output: Vec::new(),
+        open: HashMap::new(),
+        unheard: VecDeque::new(),
+        ending: false,
+    };
+    connection.run(&stream, &mut commands).await;
+    drop(stream);
+    front.board().connections.remove(&number);
+    commands.close();
+    let mut calls: Vec<CallName> = connection.open.into_keys().collect();
+    calls.sort();
+    for call in calls {
+        let _ = front.core.send(Input::Withdrawn(front.id, Origin(number), call)).await;
+    }
+    let recent = |since: &Instant| since.elapsed() < RELEASE_UNHEARD;
+    for (_, call, cause) in connection.unheard.into_iter().filter(|(since, ..)| recent(since)) {
+        front.board().route(ToFront::Release(None, call, cause));
+    }
+    while let Ok(command) = commands.try_recv() {
+        match command {
+            ToConnection::Core(ToFront::Answer(_, call, _)) => {
+                let _ = front.core.send(Input::Hangup(front.id, call, Cause::NORMAL)).await;
+            }
+            ToConnection::Core(release @ ToFront::Release(..)) => {
+                front.board().route(release);
+            }
+            _ => {}
+        }
+    }
+}
+
+impl Connection {
+    async fn run(&mut self, stream: &TcpStream, commands: &mut mpsc::Receiver<ToConnection>) {
+        let mut idle_at = Instant::now() + IDLE;
+        loop {
+            match stream.try_write(&self.output) {
+                Ok(count) => {
+                    self.output.drain(..count);
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(_) => return,
+            }
+            if self.output.len() > OUTPUT_MOST || self.ending && self.output.is_empty() {
+                return;
+            }
+            tokio::select! {
+                readable = stream.readable(), if !self.ending => {
+                    if readable.is_err() {
+                        return;
+                    }
+                    match self.input.fill(stream) {
+                        Ok(0) => return,
+                        Ok(_) => {}
+                        Err(error) if error.kind() == io::ErrorKind::WouldBlock => continue,
+                        Err(_) => return,
+                    }
+                    idle_at = Instant::now() + IDLE;
+                    if let Some(known) = self.front.board().connections.get_mut(&self.number) {
+                        known.used = Instant::now();
+                    }
+                    self.take_in(self.front.clock.now()).await;
+                }
+                writable = stream.writable(), if !self.output.is_empty() => {
+                    if writable.is_err() {
+                        return;
+                    }
+                }
+                command = commands.recv() => match command {
+                    Some(ToConnection::Core(message)) => self.tell(message).await,
+                    Some(ToConnection::CloseIdle) if self.open.is_empty() && self.output.is_empty() => return,
+                    Some(ToConnection::CloseIdle) => {}
+                    None => return,
+                },
+                _ = tokio::time::sleep_until(idle_at) => {
+                    if self.open.is_empty() {
+                        return;
+                    }
+                    idle_at = Instant::now() + IDLE;
+                }
+            }
+        }
+    }
+
+    /// Reads the messages that are there. `arrived`: when their last bytes came.
+    async fn take_in(&mut self, arrived: Micros) {
+        let mut input = std::mem::take(&mut self.input);
+        let mut inputs = Vec::new();
+        while !self.ending {
+            input.consume(sip::empty_lines(input.held()));
+            let bytes = match sip::parse(input.held()) {
+                Ok(Some(message)) => {
+                    self.message(&message, arrived, &mut inputs);
+                    message.bytes
+                }
+                Ok(None) => break,
+                Err(Malformed::Request { headers, bytes }) => {
+                    self.respond((400, "Bad Request"), &headers, &[], &[]);
+                    self.ending = bytes == 0;
+                    bytes
+                }
+                Err(Malformed::Lost) => {
+                    self.ending = true;
+                    0
+                }
+            };
+            input.consume(bytes);
+        }
+        debug_assert!(self.ending || input.held().len() <= MESSAGE_MOST);
+        self.input = input;
+        for input in inputs {
+            let _ = self.front.core.send(input).await;
+        }
+    }
+
+    fn message(&mut self, message: &Message, arrived: Micros, inputs: &mut Vec<Input>) {
+        let Start::Request(method, uri) = message.start else {
+            if let (Some((_, "BYE")), Some(call)) = (message.cseq(), call_name(message)) {
+                self.unheard.retain(|(_, c, _)| *c != call);
+            }
+            return;
+        };
+        let (id, origin) = (self.front.id, Origin(self.number));
+        let headers = message.repeated();
+        let call = call_name(message);
+        match (method, call) {
+            ("ACK", _) => {}
+            ("OPTIONS", _) => {
+                let status = *self.front.status.borrow();
+                match status.settled && !status.stopping {
+                    true => self.respond((200, "OK"), &headers, &[], &[]),
+                    false => self.respond((503, "Service Unavailable"), &headers, &[], &[]),
+                }
+            }
+            ("INVITE", Some(call)) => match self.offer(message, uri, call, arrived) {
+                Ok(offer) if self.open.len() < OPEN_MOST => {
+                    // A repeat of an open set-up is owed no second answer.
+                    if self.open.insert(call, Open { headers }).is_none() {
+                        inputs.push(Input::Offer(offer));
+                    }
+                }
+                Ok(_) => self.respond((503, "Service Unavailable"), &headers, &[], &[]),
+                Err(()) => self.respond((400, "Bad Request"), &headers, &[], &[]),
+            },
+            ("CANCEL", Some(call)) => match self.open.remove(&call) {
+                Some(open) => {
+                    self.respond((200, "OK"), &headers, &[], &[]);
+                    self.respond((487, "Request Terminated"), &open.headers, &[], &[]);
+                    inputs.push(Input::Withdrawn(id, origin, call));
+                }
+                None => self.respond((481, "Call/Transaction Does Not Exist"), &headers, &[], &[]),
+            },
+            ("BYE", Some(call)) => {
+                let cause = message.header("Reason").and_then(sip::cause).map_or(Cause::NORMAL, Cause);
+                inputs.push(Input::Hangup(id, call, cause));
+                self.respond((200, "OK"), &headers, &[], &[]);
+            }
+            ("INVITE" | "CANCEL" | "BYE", None) => self.respond((400, "Bad Request"), &headers, &[], &[]),
+            _ => {
+                let allow = [("Allow", "INVITE, ACK, CANCEL, BYE, OPTIONS")];
+                self.respond((405, "Method Not Allowed"), &headers, &allow, &[]);
+            }
+        }
+    }
+
+    fn offer(&self, message: &Message, uri: &str, call: CallName, arrived: Micros) -> Result<Offer, ()> {
+        let within =
+            message.number("Answer-Within").map_err(drop)?.unwrap_or(ANSWER_WITHIN).min(ANSWER_WITHIN_MOST);
+        let data = message.header("Routing-Data").unwrap_or("");
+        let figure = |name: &str| {
+            let mut parts = data.split(';').filter_map(|p| p.split_once(':'));
+            parts.find(|(k, _)| k.trim() == name).map(|(_, v)| v.trim())
+        };
+        Ok(Offer {
+            front: self.front.id,
+            origin: Origin(self.number),
+            call,
+            class: message.header("Call-Kind").unwrap_or("").into(),
+            number: sip::user(uri).ok_or(())?.into(),
+            place: figure("dest").map_or(Ok(-1), |v| v.parse().map_err(|_| ()))?,
+            deadline: arrived + Micros(within * 1000),
+            repeat: message.header("Repeat-Mark").is_some_and(|v| v == "1"),
+            returned: figure("again") == Some("1"),
+            description: Description { form: SDP, bytes: Bytes::copy_from_slice(message.body) },
+        })
+    }
+
+    async fn tell(&mut self, message: ToFront) {
+        match message {
+            ToFront::Answer(_, call, description) => match self.open.remove(&call) {
+                Some(open) => {
+                    let contact = format!("<sip:petreldock@{}>", self.front.listen);
+                    let more = [("Contact", &*contact), ("Content-Type", SDP)];
+                    self.respond((200, "OK"), &open.headers, &more, &description.bytes);
+                }
+                // Danger: the caller gave its set-up up while the answer was under way to it. Nobody
+                // has the call: it is released at the hub, and no second answer goes out.
+                None => {
+                    let _ = self.front.core.send(Input::Hangup(self.front.id, call, Cause::NORMAL)).await;
+                }
+            },
+            ToFront::Refuse(_, call, away) => {
+                if let Some(open) = self.open.remove(&call) {
+                    let away = (away.0 / 1000).to_string();
+                    let more = [("Come-Back-Ms", &*away)];
+                    let more = if away == "0" { &[][..] } else { &more[..] };
+                    self.respond((503, "Service Unavailable"), &open.headers, more, &[]);
+                }
+            }
+            ToFront::Fail(_, call) => {
+                if let Some(open) = self.open.remove(&call) {
+                    self.respond((500, "Server Internal Error"), &open.headers, &[], &[]);
+                }
+            }
+            ToFront::Release(_, call, cause) => {
+                let recent = |since: &Instant| since.elapsed() < RELEASE_UNHEARD;
+                while self.unheard.front().is_some_and(|(since, ..)| !recent(since)) {
+                    self.unheard.pop_front();
+                }
+                self.unheard.push_back((Instant::now(), call, cause));
+                let listen = self.front.listen;
+                let (id, reason) = (format!("{:016x}", call.0), format!("Q.850;cause={}", cause.0));
+                let via = format!("SIP/2.0/TCP {listen};branch=z9hG4bK{id}bye");
+                let party = format!("<sip:petreldock@{listen}>;tag={:x}", self.front.id.0 + 1);
+                sip::request(
+                    &mut self.output,
+                    "BYE",
+                    "sip:caller@net",
+                    &[
+                        ("Via", &via),
+                        ("Max-Forwards", "70"),
+                        ("From", &party),
+                        ("To", "<sip:caller@net>"),
+                        ("Call-ID", &id),
+                        ("CSeq", "1 BYE"),
+                        ("Reason", &reason),
+                    ],
+                );
+            }
+            // SIP callers' media goes past the session controller.
+            ToFront::Media(..) => {}
+        }
+    }
+
+    fn respond(
+        &mut self,
+        status: (u16, &str),
+        headers: &[(String, String)],
+        more: &[(&str, &str)],
+        body: &[u8],
+    ) {
+        let tag = format!("{:x}", self.number);
+        sip::respond(&mut self.output, status, headers, &tag, more, body);
+    }
+}
+
+/// The call that a message names: 16 hex digits, as on the hubs' wire.
+fn call_name(message: &Message) -> Option<CallName> {
+    let text = message.header("Call-ID")?;
+    let digits = text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit());
+    u64::from_str_radix(text, 16).ok().filter(|_| digits).map(CallName)
+}
--- /dev/null
+++ b/src/net/hub.rs
@@ -0,0 +1,471 @@
+//! The link to one table hub: up to four connections, one task.
+//!
+//! Set-ups wait in a queue until their first byte can go out, so that they can be taken back; a hub
+//! that stops reading blocks no other. What the link tells the core, it tells in the hub's order.
+
+use super::binary::{self, code, kind, Message};
+use super::buffer::Buffer;
+use super::SDP;
+use crate::config::Limits;
+use crate::core::{CallName, Cause, Clock, Description, FromHub, Input, LinkId, Note, SetUp, ToHub};
+use crate::interface::{Micros, Report};
+use bytes::Bytes;
+use std::collections::{HashMap, VecDeque};
+use std::future::poll_fn;
+use std::io;
+use std::net::SocketAddr;
+use std::task::{Context, Poll};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+use tokio::time::{Duration, Instant};
+
+/// Commands that may wait for a link; each call has a few at most.
+pub const COMMANDS: usize = 65_536;
+/// Connections to one hub.
+const CONNECTIONS: usize = 4;
+/// This much is written at once; the rest can still be taken back.
+const BATCH: usize = 16 * 1024;
+/// A failed dial is followed by the next after this, then twice that, and so on,
+const BACKOFF: Duration = Duration::from_millis(100);
+/// ... up to this.
+const BACKOFF_MOST: Duration = Duration::from_secs(1);
+/// No connection for this long, and none refused: the machine has vanished, and its calls are cut.
+const VANISHED: Duration = Duration::from_millis(2_500);
+/// A connection that owes answers and said nothing for this long gets another beside it.
+const SILENT: Duration = Duration::from_millis(2_500);
+/// A spare connection with nothing on it is closed after this.
+const SPARE_IDLE: Duration = Duration::from_secs(20);
+/// How often the link looks after its connections.
+const LOOK: Duration = Duration::from_millis(250);
+/// A release that no connection could take is of no use after this.
+const RELEASE_KEPT: Duration = Duration::from_secs(10);
+
+/// A message to write.
+enum Out {
+    SetUp(SetUp),
+    GiveUp(CallName, u64),
+    Release(CallName, Cause),
+    Heard(CallName),
+}
+
+struct Connection {
+    id: u64,
+    stream: TcpStream,
+    input: Buffer,
+    /// Messages as bytes, with the length of each in `staged`; of the first, `begun` bytes are out.
+    output: Vec<u8>,
+    staged: VecDeque<(usize, Out)>,
+    begun: usize,
+    queue: VecDeque<Out>,
+    /// Set-ups begun here and not answered.
+    open: HashMap<CallName, u64>,
+    heard: Instant,
+}
+
+/// The link's state.
+struct Link {
+    id: LinkId,
+    address: Option<SocketAddr>,
+    limits: Limits,
+    clock: Clock,
+    connections: Vec<Connection>,
+    dials: JoinSet<io::Result<TcpStream>>,
+    /// Set-ups that wait for a connection.
+    waiting: VecDeque<SetUp>,
+    /// Releases that wait for one.
+    parked: VecDeque<(Instant, CallName, Cause)>,
+    /// Calls that stand, with the connection of their set-up.
+    standing: HashMap<CallName, u64>,
+    not_after: Option<Micros>,
+    next_dial: Option<Instant>,
+    backoff: Duration,
+    failing_since: Option<Instant>,
+    dialled: u64,
+    news: Vec<FromHub>,
+}
+
+/// Starts a link's task; it ends at [`ToHub::Close`] or once the core is gone.
+pub fn start(
+    id: LinkId,
+    endpoint: &str,
+    limits: Limits,
+    clock: Clock,
+    core: mpsc::Sender<Input>,
+) -> mpsc::Sender<ToHub> {
+    let (sender, commands) = mpsc::channel(COMMANDS);
+    let link = Link {
+        id,
+        address: endpoint.parse().ok(),
+        limits,
+        clock,
+        connections: Vec::new(),
+        dials: JoinSet::new(),
+        waiting: VecDeque::new(),
+        parked: VecDeque::new(),
+        standing: HashMap::new(),
+        not_after: None,
+        next_dial: Some(Instant::now()),
+        backoff: BACKOFF,
+        failing_since: None,
+        dialled: 0,
+        news: Vec::new(),
+    };
+    tokio::spawn(link.run(commands, core));
+    sender
+}
+
+impl Link {
+    async fn run(mut self, mut commands: mpsc::Receiver<ToHub>, core: mpsc::Sender<Input>) {
+        let mut looks = tokio::time::interval(LOOK);
+        loop {
+            let next_dial = self.next_dial;
+            tokio::select! {
+                command = commands.recv() => match command {
+                    None | Some(ToHub::Close) => return,
+                    Some(command) => self.command(command),
+                },
+                Some(dialled) = self.dials.join_next() => {
+                    let dialled = dialled.unwrap_or_else(|e| Err(io::Error::other(e)));
+                    self.dialled(dialled);
+                }
+                _ = tokio::time::sleep_until(next_dial.unwrap_or_else(Instant::now)), if next_dial.is_some() => {
+                    self.dial();
+                }
+                _ = looks.tick() => self.look(),
+                index = poll_fn(|cx| poll_connections(&self.connections, cx)) => self.read(index, false),
+            }
+            self.write();
+            for news in self.news.drain(..) {
+                if core.send(Input::Hub(self.id, news)).await.is_err() {
+                    return;
+                }
+            }
+        }
+    }
+
+    fn command(&mut self, command: ToHub) {
+        match command {
+            ToHub::SetUp(set_up) => match self.connections.last_mut() {
+                Some(connection) => connection.queue.push_back(Out::SetUp(set_up)),
+                None => {
+                    self.waiting.push_back(set_up);
+                    self.dial();
+                }
+            },
+            ToHub::GiveUp(call, attempt) => self.give_up(call, attempt),
+            ToHub::Release(call, cause) => {
+                let owner = self.standing.remove(&call);
+                let own = self.connections.iter().position(|c| Some(c.id) == owner);
+                let index = own.or(self.connections.len().checked_sub(1));
+                match index.and_then(|i| self.connections.get_mut(i)) {
+                    Some(connection) => connection.queue.push_back(Out::Release(call, cause)),
+                    None => {
+                        self.parked.push_back((Instant::now(), call, cause));
+                        self.dial();
+                    }
+                }
+            }
+            ToHub::NotAfter(at) => self.not_after = at,
+            // A call that crosses protocols carries no media.
+            ToHub::Media(..) | ToHub::Close => {}
+        }
+    }
+
+    /// Takes a set-up back that has not begun, else has the give-up written where it went.
+    fn give_up(&mut self, call: CallName, attempt: u64) {
+        let began = |began| FromHub::GivenUp { attempt, call, began };
+        if let Some(at) = self.waiting.iter().position(|s| s.attempt == attempt) {
+            self.waiting.remove(at);
+            return self.news.push(began(false));
+        }
+        for connection in &mut self.connections {
+            let queued = |c: &Out| matches!(c, Out::SetUp(s) if s.attempt == attempt);
+            if let Some(at) = connection.queue.iter().position(queued) {
+                connection.queue.remove(at);
+                return self.news.push(began(false));
+            }
+            if connection.open.get(&call) == Some(&attempt) {
+                return connection.queue.push_back(Out::GiveUp(call, attempt));
+            }
+        }
+        // Answered or broken meanwhile. An answer that is on its way to the core stands at the hub.
+        if self.standing.contains_key(&call) {
+            self.command(ToHub::Release(call, Cause::NORMAL));
+        }
+        self.news.push(began(true));
+    }
+
+    fn dial(&mut self) {
+        if self.dials.is_empty() && self.connections.len() < CONNECTIONS {
+            self.next_dial = None;
+            let (address, limit) = (self.address, self.limits.dial_timeout);
+            self.dials.spawn(async move {
+                let address = address.ok_or(io::ErrorKind::InvalidInput)?;
+                let stream = tokio::time::timeout(limit, TcpStream::connect(address)).await;
+                let stream = stream.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))?;
+                stream.set_nodelay(true)?;
+                Ok(stream)
+            });
+        }
+    }
+
+    fn dialled(&mut self, dialled: io::Result<TcpStream>) {
+        let now = Instant::now();
+        match dialled {
+            Ok(stream) => {
+                self.dialled += 1;
+                self.backoff = BACKOFF;
+                self.failing_since = None;
+                self.next_dial = None;
+                let mut queue: VecDeque<Out> =
+                    self.parked.drain(..).map(|(_, call, cause)| Out::Release(call, cause)).collect();
+                queue.extend(self.waiting.drain(..).map(Out::SetUp));
+                self.connections.push(Connection {
+                    id: self.dialled,
+                    stream,
+                    input: Buffer::default(),
+                    output: Vec::new(),
+                    staged: VecDeque::new(),
+                    begun: 0,
+                    queue,
+                    open: HashMap::new(),
+                    heard: now,
+                });
+            }
+            Err(error) => {
+                let unreachable = |s: SetUp| FromHub::Unreachable(s.call, s.attempt);
+                self.news.extend(self.waiting.drain(..).map(unreachable));
+                self.next_dial = Some(now + self.backoff);
+                self.backoff = (self.backoff * 2).min(BACKOFF_MOST);
+                if !self.connections.is_empty() {
+                    return;
+                }
+                let since = *self.failing_since.get_or_insert(now);
+                let refused = error.kind() == io::ErrorKind::ConnectionRefused;
+                // Danger: a process that died takes its calls with it, and nobody else tells. A refused
+                // connection proves that it is gone; a machine that vanished refuses nothing.
+                if (refused || now - since >= VANISHED) && !self.standing.is_empty() {
+                    self.standing.clear();
+                    self.news.push(FromHub::Dead);
+                }
+            }
+        }
+    }
+
+    /// Waits for no message: closes what is spare, opens a connection beside one that went silent.
+    fn look(&mut self) {
+        let now = Instant::now();
+        self.parked.retain(|(since, ..)| now - *since < RELEASE_KEPT);
+        let silent = |c: &Connection| !c.open.is_empty() && now - c.heard >= SILENT;
+        if self.connections.last().is_some_and(silent) {
+            self.dial();
+        }
+        let last = self.connections.len().saturating_sub(1);
+        let spare = |c: &Connection| c.open.is_empty() && c.queue.is_empty() && c.output.is_empty();
+        let idle = |c: &Connection| spare(c) && now - c.heard >= SPARE_IDLE;
+        if let Some(index) = self.connections[..last].iter().position(idle) {
+            self.connections.remove(index);
+        }
+    }
+
+    /// Takes in what the hub said; `broken` tells that nothing can be written to it any more.
+    fn read(&mut self, index: usize, broken: bool) {
+        let Some(connection) = self.connections.get_mut(index) else { return };
+        let end = match connection.input.fill(&connection.stream) {
+            Ok(0) => true,
+            Ok(_) => {
+                connection.heard = Instant::now();
+                false
+            }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => broken,
+            Err(_) => true,
+        };
+        let mut garbled = false;
+        let mut input = std::mem::take(&mut connection.input);
+        loop {
+            match binary::parse(input.held()) {
+                Ok(Some(message)) => {
+                    let bytes = message.bytes;
+                    take(&message, connection, &mut self.standing, &mut self.news);
+                    input.consume(bytes);
+                }
+                Ok(None) => break,
+                Err(binary::Garbled) => {
+                    garbled = true;
+                    break;
+                }
+            }
+        }
+        connection.input = input;
+        if end || garbled || broken {
+            self.lost(index);
+        }
+    }
+
+    /// A connection is gone: its set-ups alone are broken, and what had not begun goes on elsewhere.
+    fn lost(&mut self, index: usize) {
+        let connection = self.connections.remove(index);
+        let mut open: Vec<_> = connection.open.into_iter().collect();
+        open.sort();
+        let set_ups: Vec<u64> = open.iter().map(|(_, attempt)| *attempt).collect();
+        self.news.extend(open.into_iter().map(|(call, attempt)| FromHub::Broken(call, attempt)));
+        self.dial();
+        for out in connection.staged.into_iter().map(|(_, out)| out).chain(connection.queue) {
+            match out {
+                Out::SetUp(set_up) if set_ups.contains(&set_up.attempt) => {}
+                Out::SetUp(set_up) => self.command(ToHub::SetUp(set_up)),
+                Out::Release(call, cause) => self.command(ToHub::Release(call, cause)),
+                // The set-up was broken just now.
+                Out::GiveUp(..) | Out::Heard(_) => {}
+            }
+        }
+    }
+
+    fn write(&mut self) {
+        let now = self.clock.now();
+        // From the last, as a connection that breaks is taken out.
+        for index in (0..self.connections.len()).rev() {
+            let Some(connection) = self.connections.get_mut(index) else { continue };
+            if connection.write(now, self.not_after, &mut self.news).is_err() {
+                self.read(index, true);
+            }
+        }
+    }
+}
+
+fn poll_connections(connections: &[Connection], cx: &mut Context<'_>) -> Poll<usize> {
+    for (index, connection) in connections.iter().enumerate() {
+        let readable = connection.stream.poll_read_ready(cx).is_ready();
+        let writes = !connection.output.is_empty() && connection.stream.poll_write_ready(cx).is_ready();
+        if readable || writes {
+            return Poll::Ready(index);
+        }
+    }
+    Poll::Pending
+}
+
+/// What one message of a hub means.
+fn take(
+    message: &Message,
+    connection: &mut Connection,
+    standing: &mut HashMap<CallName, u64>,
+    news: &mut Vec<FromHub>,
+) {
+    let call = CallName(message.call);
+    match message.kind {
+        kind::ANSWER => {
+            connection.open.remove(&call);
+            standing.insert(call, connection.id);
+            let bytes = Bytes::copy_from_slice(message.parameter(code::DESCRIPTION).unwrap_or_default());
+            news.push(FromHub::Stands(call, Description { form: SDP, bytes }));
+        }
+        kind::RELEASE => {
+            connection.open.remove(&call);
+            standing.remove(&call);
+            let note = match message.text(code::NOTE) {
+                Some("congestion") => Note::Congestion,
+                Some("throttled") => Note::Throttled,
+                Some("engaged") => Note::Engaged,
+                _ => Note::None,
+            };
+            let cause = message.cause().map_or(Cause::TEMPORARY_FAILURE, Cause);
+            news.push(FromHub::Released(call, cause, note, message.report()));
+            connection.queue.push_back(Out::Heard(call));
+        }
+        kind::STATE | kind::TESTED => {
+            let report = message.report();
+            if report != Report::default() {
+                news.push(FromHub::State(report));
+            }
+        }
+        _ => {}
+    }
+}
+
+impl Connection {
+    /// Writes what the socket takes. A set-up whose first byte has not gone out goes back to the queue,
+    /// where it can be taken back; its deadline and the hub's drain are looked at again then.
+    fn write(&mut self, now: Micros, not_after: Option<Micros>, news: &mut Vec<FromHub>) -> io::Result<()> {
+        loop {
+            while self.output.len() < BATCH {
+                let Some(out) = self.queue.pop_front() else { break };
+                self.stage(out, now, not_after, news);
+            }
+            if self.output.is_empty() {
+                return Ok(());
+            }
+            let count = match self.stream.try_write(&self.output) {
+                Ok(count) => count,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => 0,
+                Err(error) => return Err(error),
+            };
+            self.written(count, news);
+            if !self.output.is_empty() {
+                self.unstage();
+                return Ok(());
+            }
+        }
+    }
+
+    fn stage(&mut self, out: Out, now: Micros, not_after: Option<Micros>, news: &mut Vec<FromHub>) {
+        let before = self.output.len();
+        let fits = match &out {
+            Out::SetUp(s) => {
+                if now >= s.until || not_after.is_some_and(|t| now >= t) {
+                    return news.push(FromHub::NotSent(s.call, s.attempt));
+                }
+                let wait = ((s.until - now).0 / 1000).max(1).to_string();
+                let parameters = [
+                    (code::CLASS, s.class.as_bytes()),
+                    (code::WAIT, wait.as_bytes()),
+                    (code::NUMBER, s.number.as_bytes()),
+                    (code::DESCRIPTION, &s.description.bytes[..]),
+                ];
+                binary::write(&mut self.output, kind::SET_UP, s.call.0, &parameters)
+            }
+            Out::GiveUp(call, _) => release(&mut self.output, *call, Cause::NORMAL),
+            Out::Release(call, cause) => release(&mut self.output, *call, *cause),
+            Out::Heard(call) => binary::write(&mut self.output, kind::RELEASE_HEARD, call.0, &[]),
+        };
+        match (fits, out) {
+            (true, out) => self.staged.push_back((self.output.len() - before, out)),
+            (false, Out::SetUp(s)) => news.push(FromHub::NotSent(s.call, s.attempt)),
+            (false, _) => {}
+        }
+    }
+
+    /// `count` more bytes are out.
+    fn written(&mut self, count: usize, news: &mut Vec<FromHub>) {
+        self.output.drain(..count);
+        self.begun += count;
+        while let Some((length, out)) = self.staged.front() {
+            if let Out::SetUp(s) = out {
+                if self.begun > 0 {
+                    self.open.insert(s.call, s.attempt);
+                }
+            }
+            if self.begun < *length {
+                return;
+            }
+            self.begun -= length;
+            if let Some((_, Out::GiveUp(call, attempt))) = self.staged.pop_front() {
+                self.open.remove(&call);
+                news.push(FromHub::GivenUp { attempt, call, began: true });
+            }
+        }
+    }
+
+    /// The socket is full: what has not begun goes back.
+    fn unstage(&mut self) {
+        while self.staged.len() > usize::from(self.begun > 0) {
+            let Some((length, out)) = self.staged.pop_back() else { return };
+            self.output.truncate(self.output.len() - length);
+            self.queue.push_front(out);
+        }
+    }
+}
+
+fn release(out: &mut Vec<u8>, call: CallName, cause: Cause) -> bool {
+    binary::write(out, kind::RELEASE, call.0, &[(code::CAUSE, &[cause.0])])
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,12 @@
+//! The platform's sockets: SIP callers, table hubs and the change log.
+
+pub mod binary;
+pub mod buffer;
+pub mod feed;
+pub mod front;
+pub mod http;
+pub mod hub;
+pub mod sip;
+
+/// The form of the descriptions that SIP callers and table hubs exchange.
+pub const SDP: &str = "application/sdp";
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -1,7 +1,7 @@
 //! The simulator's wire: lines of text to events, actions to lines. No decisions stand here.
 
+use crate::config::{self, At, Names};
 use crate::interface::*;
-use serde_json::Value;
 use std::collections::BTreeMap;
 use std::fmt::Write;
 
@@ -85,93 +85,10 @@
     text.chars().take(40).collect()
 }
 
-/// What an instance needs to read its lines.
-#[derive(Clone, Debug)]
-pub struct Names {
-    classes: BTreeMap<String, usize>,
-    report: Vec<String>,
-}
-
 /// Reads the settings of an `init`.
 pub fn settings(params: &str) -> Result<(Settings, Names), Malformed> {
-    let root: Value =
-        serde_json::from_str(params).map_err(|e| format!("init: expected JSON in 'params': {e}"))?;
-    let info = &root["familyInfo"];
-    let contract = &root["contract"];
-    let limits = &root["limits"];
-    let mut names = Names { classes: BTreeMap::new(), report: Vec::new() };
-    let mut classes = Vec::new();
-    let listed = root["classes"].as_array().ok_or("init: expected a list 'classes'")?;
-    for (i, class) in listed.iter().enumerate() {
-        let name = class["name"].as_str().ok_or("init: expected a 'name' for each class")?;
-        names.classes.insert(name.to_string(), i);
-        let places = info["allowedPools"][i].as_array().map_or(&[][..], |v| v);
-        classes.push(Class {
-            objective: micros(class, "objective")?,
-            deadline: micros(class, "deadline")?,
-            worth: amount(class, "worth", 1.0)?,
-            late_worth: amount(class, "lateWorth", 0.0)?,
-            effect: match class["idempotency"].as_str() {
-                Some("guarded") => Effect::Guarded,
-                Some("single_shot") => Effect::SingleShot,
-                _ => Effect::Free,
-            },
-            places: places.iter().filter_map(Value::as_i64).collect(),
-            hold: Micros(info["classHold"][i].as_u64().unwrap_or(0)),
-        });
-    }
-    if let Some(report) = root["report"]["names"].as_array() {
-        names.report = report.iter().map(|n| n.as_str().unwrap_or("").to_string()).collect();
-    }
-    let set = Settings {
-        balancers: count(&root, "balancers", 1)?,
-        classes,
-        cold_from: amount(contract, "coldFrom", 1.0)?,
-        warm_up: micros_or(contract, "warmUp", 0)?,
-        overload_factor: amount(contract, "overloadFactor", 1.0)?,
-        overload_for: micros_or(contract, "overloadFor", 0)?,
-        release: micros_or(info, "release", 0)?,
-        resend: micros_or(info, "resend", 0)?,
-        max_attempts: count(limits, "maxAttempts", 1)?,
-        may_cancel: limits["cancel"].as_bool().unwrap_or(false),
-        may_tell: limits["mayTell"].as_bool().unwrap_or(false),
-        index: count(&root, "selfIndex", 0)?,
-        must_subscribe: root["registryMode"].as_str() == Some("subscribe"),
-        own_place: match info["networkForm"].as_str() {
-            Some("mesh") => info["here"].as_i64(),
-            _ => None,
-        },
-    };
-    Ok((set, names))
-}
-
-fn micros(of: &Value, key: &str) -> Result<Micros, Malformed> {
-    let number = of[key].as_u64().or_else(|| of[key].as_f64().filter(|n| *n >= 0.0).map(|n| n as u64));
-    number.map(Micros).ok_or_else(|| format!("init: expected a time of nought or more in '{key}'"))
-}
-
-fn micros_or(of: &Value, key: &str, other: u64) -> Result<Micros, Malformed> {
-    if of[key].is_null() {
-        return Ok(Micros(other));
-    }
-    micros(of, key)
-}
-
-fn amount(of: &Value, key: &str, other: f64) -> Result<f64, Malformed> {
-    match &of[key] {
-        Value::Null => Ok(other),
-        value => value.as_f64().ok_or_else(|| format!("init: expected a number in '{key}'")),
-    }
-}
-
-fn count(of: &Value, key: &str, other: u32) -> Result<u32, Malformed> {
-    match &of[key] {
-        Value::Null => Ok(other),
-        value => value
-            .as_u64()
-            .and_then(|n| u32::try_from(n).ok())
-            .ok_or_else(|| format!("init: expected a count in '{key}'")),
-    }
+    let root = config::parse(params, "params").map_err(|_| "init: expected JSON in 'params'".to_string())?;
+    config::settings(&At::root(&root, "")).map_err(|e| format!("init: {e}"))
 }
 
 /// Reads an `entry` line of a catalog.
@@ -212,17 +129,7 @@
         let number: f64 = value
             .parse()
             .map_err(|_| format!("{}: expected numbers in 'metrics', found '{}'", line.name, clip(value)))?;
-        let value = Some(number).filter(|n| n.is_finite() && *n >= 0.0);
-        match name.as_str() {
-            "free" => report.free = value,
-            "size" => report.size = value,
-            "svc_ms" => report.wait = value.map(|ms| Micros((ms * 1000.0) as u64)),
-            "cpu_share" => report.utilisation = value,
-            "pending" => report.queue = value,
-            "can_take" => report.can_take = value,
-            "hold_back" => report.hold_back = value,
-            _ => {}
-        }
+        Names::store(&mut report, name, number);
     }
     Ok(report)
 }
@@ -305,7 +212,8 @@
         Action::Send(id, server, timeout) => {
             writeln!(out, "forward handle={} switch={} timeout={}", id.0, server.0, timeout.0)
         }
-        Action::Refuse(id) => writeln!(out, "overload_reply handle={}", id.0),
+        Action::Refuse(id, Micros(0)) => writeln!(out, "overload_reply handle={}", id.0),
+        Action::Refuse(id, away) => writeln!(out, "overload_reply handle={} stayAway={}", id.0, away.0),
         Action::Fail(id) => writeln!(out, "end_failed handle={}", id.0),
         Action::Cancel(id, attempt) => writeln!(out, "undo_send handle={} copy={attempt}", id.0),
         Action::Timer(at, token) => writeln!(out, "after alarmTime={} mark={token}", at.0),
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -24,6 +24,7 @@
         max_attempts: 4,
         may_cancel: true,
         may_tell: false,
+        max_stay_away: Micros(0),
         index: 0,
         must_subscribe: false,
         own_place: None,
