Add the IAX2 front and the IAX2 hub link on the same core

Seen: the core had one front and one kind of link. iax2/ now holds frames (winnow), a reliable transport without clock or socket, the front, the hub link, media relay and one tested cause table.

Ruled out: nothing yet on lossy paths; those tests come next. The platform's path is untouched but for descriptions of another form, which are left out.

--- a/src/config.rs
+++ b/src/config.rs
@@ -462,8 +462,10 @@
         if !class.is_empty() && !names.classes.contains_key(class) {
             return Err(calls.key("class").expected("a class of the settings"));
         }
+        // Without a class named, the first of the settings.
+        let first = || names.classes.iter().find(|(_, i)| **i == 0).map(|(n, _)| n.clone());
         operator.iax2_calls = Iax2Calls {
-            class: class.into(),
+            class: if class.is_empty() { first().unwrap_or_default() } else { class.into() },
             answer_within: calls
                 .key("answerWithinMs")
                 .or(Micros(other.answer_within.0 / 1000), At::micros)
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -185,11 +185,11 @@
 
     /// Adds hubs that no list names or takes away: those of the operator's file.
     pub fn fix(&mut self, now: Micros, hubs: Vec<Hub>) {
-        for hub in hubs {
-            let index = self.hub(&hub);
+        for hub in &hubs {
+            let index = self.hub(hub);
             self.hubs[index].fixed = true;
         }
-        self.list(now, false, Vec::new());
+        self.list(now, false, hubs);
     }
 
     /// Takes one input.
--- /dev/null
+++ b/src/iax2/cause.rs
@@ -0,0 +1,104 @@
+//! The one table of how calls end, in IAX2's words: a Q.850 cause code and its text.
+
+use super::frame::{element, put, Elements};
+use crate::core::{Cause, Note};
+
+/// How a call, or an attempt, ends towards an IAX2 peer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// The module refused the call; another try is harmless.
+    Refused,
+    /// The call failed before its caller's time was up.
+    Failed,
+    /// No answer came before the caller's time was up.
+    DeadlinePassed,
+    /// An attempt is given up: timed out, or withdrawn by its caller or the module.
+    GivenUp,
+    /// A call that stood is released with this cause.
+    Released(Cause),
+    /// The NEW cannot be read, or speaks another version.
+    Malformed,
+    /// No call number is left.
+    Full,
+}
+
+/// The cause that an ending is told with.
+pub fn cause(ending: Ending) -> Cause {
+    match ending {
+        Ending::Refused | Ending::Full => Cause(42),
+        Ending::Failed => Cause::TEMPORARY_FAILURE,
+        Ending::DeadlinePassed => Cause::TIMER_EXPIRY,
+        Ending::GivenUp => Cause::NORMAL,
+        Ending::Released(cause) => cause,
+        Ending::Malformed => Cause(96),
+    }
+}
+
+/// Q.850's words for a cause.
+pub fn words(cause: Cause) -> &'static str {
+    match cause.0 {
+        16 => "Normal call clearing",
+        17 => "User busy",
+        21 => "Call rejected",
+        31 => "Normal, unspecified",
+        34 => "No circuit/channel available",
+        41 => "Temporary failure",
+        42 => "Switching equipment congestion",
+        47 => "Resource unavailable, unspecified",
+        96 => "Mandatory information element is missing",
+        102 => "Recovery on timer expiry",
+        _ => "Interworking, unspecified",
+    }
+}
+
+/// The elements of a REJECT or HANGUP.
+pub fn elements(ending: Ending) -> Vec<u8> {
+    let (cause, mut out) = (cause(ending), Vec::new());
+    put(&mut out, element::CAUSE, words(cause).as_bytes());
+    put(&mut out, element::CAUSECODE, &[cause.0]);
+    out
+}
+
+/// What a hub's REJECT or HANGUP means to the core. Without a code, a rejection is just that, and
+/// a hang-up is normal clearing.
+pub fn heard(elements: &Elements, rejected: bool) -> (Cause, Note) {
+    let code = elements.number(element::CAUSECODE).and_then(|c| u8::try_from(c).ok()).filter(|c| *c > 0);
+    match code {
+        Some(17) => (Cause::BUSY, Note::Engaged),
+        Some(34) => (Cause::NO_CIRCUIT, Note::Congestion),
+        Some(42) => (Cause::NO_CIRCUIT, Note::Throttled),
+        Some(code) => (Cause(code), Note::None),
+        None if rejected => (Cause(21), Note::None),
+        None => (Cause::NORMAL, Note::None),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn every_ending_has_its_cause_and_is_read_back() {
+        let table = [
+            (Ending::Refused, 42, "Switching equipment congestion", (Cause(34), Note::Throttled)),
+            (Ending::Full, 42, "Switching equipment congestion", (Cause(34), Note::Throttled)),
+            (Ending::Failed, 41, "Temporary failure", (Cause(41), Note::None)),
+            (Ending::DeadlinePassed, 102, "Recovery on timer expiry", (Cause(102), Note::None)),
+            (Ending::GivenUp, 16, "Normal call clearing", (Cause(16), Note::None)),
+            (Ending::Released(Cause(17)), 17, "User busy", (Cause(17), Note::Engaged)),
+            (Ending::Released(Cause(34)), 34, "No circuit/channel available", (Cause(34), Note::Congestion)),
+            (Ending::Released(Cause(88)), 88, "Interworking, unspecified", (Cause(88), Note::None)),
+            (Ending::Malformed, 96, "Mandatory information element is missing", (Cause(96), Note::None)),
+        ];
+        for (ending, code, text, back) in table {
+            let bytes = elements(ending);
+            let read = Elements::parse(&bytes).expect("whole");
+            assert_eq!(read.number(element::CAUSECODE), Some(code), "{ending:?}");
+            assert_eq!(read.text(element::CAUSE), Some(text), "{ending:?}");
+            assert_eq!(heard(&read, false), back, "{ending:?}");
+        }
+        let none = Elements::default();
+        assert_eq!(heard(&none, true), (Cause(21), Note::None));
+        assert_eq!(heard(&none, false), (Cause::NORMAL, Note::None));
+    }
+}
--- /dev/null
+++ b/src/iax2/frame.rs
@@ -0,0 +1,233 @@
+//! IAX2 frames and information elements (RFC 5456, section 8).
+
+use winnow::binary::{be_u16, be_u32, length_take, u8};
+use winnow::combinator::repeat;
+use winnow::error::{ContextError, ErrMode};
+use winnow::{ModalResult, Parser};
+
+/// Full frame types.
+pub mod kind {
+    /// A DTMF digit.
+    pub const DTMF: u8 = 1;
+    /// Voice.
+    pub const VOICE: u8 = 2;
+    /// Session control.
+    pub const CONTROL: u8 = 4;
+    /// IAX control.
+    pub const IAX: u8 = 6;
+}
+
+/// Subclasses of control frames.
+pub mod control {
+    /// The peer hung up.
+    pub const HANGUP: u32 = 1;
+    /// The far end rings.
+    pub const RINGING: u32 = 3;
+    /// The far end answered.
+    pub const ANSWER: u32 = 4;
+    /// The far end is busy.
+    pub const BUSY: u32 = 5;
+    /// The far end is congested.
+    pub const CONGESTION: u32 = 8;
+}
+
+/// Subclasses of IAX frames.
+pub mod iax {
+    /// A new call.
+    pub const NEW: u32 = 0x01;
+    /// A liveness test.
+    pub const PING: u32 = 0x02;
+    /// Its answer.
+    pub const PONG: u32 = 0x03;
+    /// A frame was received.
+    pub const ACK: u32 = 0x04;
+    /// The call is over.
+    pub const HANGUP: u32 = 0x05;
+    /// The call is rejected.
+    pub const REJECT: u32 = 0x06;
+    /// The call is accepted; it is not answered yet.
+    pub const ACCEPT: u32 = 0x07;
+    /// Credentials are wanted.
+    pub const AUTHREQ: u32 = 0x08;
+    /// The call number is not known.
+    pub const INVAL: u32 = 0x0a;
+    /// A lag measurement.
+    pub const LAGRQ: u32 = 0x0b;
+    /// Its answer.
+    pub const LAGRP: u32 = 0x0c;
+    /// A registration.
+    pub const REGREQ: u32 = 0x0d;
+    /// Its rejection.
+    pub const REGREJ: u32 = 0x10;
+    /// Frames are missing.
+    pub const VNAK: u32 = 0x12;
+    /// A liveness test outside a call.
+    pub const POKE: u32 = 0x1e;
+    /// The subclass is not supported.
+    pub const UNSUPPORT: u32 = 0x21;
+}
+
+/// Information elements.
+pub mod element {
+    /// The number called.
+    pub const CALLED_NUMBER: u8 = 0x01;
+    /// The number calling.
+    pub const CALLING_NUMBER: u8 = 0x02;
+    /// Media formats that a leg can do.
+    pub const CAPABILITY: u8 = 0x08;
+    /// The media format wanted.
+    pub const FORMAT: u8 = 0x09;
+    /// The protocol's version, which is 2.
+    pub const VERSION: u8 = 0x0b;
+    /// A cause in words.
+    pub const CAUSE: u8 = 0x16;
+    /// A subclass that is not known.
+    pub const IAX_UNKNOWN: u8 = 0x17;
+    /// A Q.850 cause.
+    pub const CAUSECODE: u8 = 0x2a;
+}
+
+/// A frame.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Frame<'a> {
+    /// A full frame, which is acknowledged.
+    Full(Full<'a>),
+    /// A mini frame of voice, which is not.
+    Mini {
+        /// The sender's call number.
+        source: u16,
+        /// The low half of the timestamp.
+        timestamp: u16,
+        /// The voice.
+        data: &'a [u8],
+    },
+}
+
+/// A full frame.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Full<'a> {
+    /// The sender's call number.
+    pub source: u16,
+    /// The receiver's call number; nought while it is not known.
+    pub destination: u16,
+    /// It is sent again.
+    pub again: bool,
+    /// Milliseconds since the call's first frame.
+    pub timestamp: u32,
+    /// Its sequence number.
+    pub oseq: u8,
+    /// The sequence number that its sender expects next.
+    pub iseq: u8,
+    /// Its type.
+    pub kind: u8,
+    /// Its subclass.
+    pub subclass: u32,
+    /// What it carries.
+    pub data: &'a [u8],
+}
+
+impl Full<'_> {
+    /// Whether it is an IAX frame of that subclass.
+    pub fn is(&self, subclass: u32) -> bool {
+        self.kind == kind::IAX && self.subclass == subclass
+    }
+
+    /// Whether it takes a sequence number and is acknowledged.
+    pub fn counts(&self) -> bool {
+        self.kind != kind::IAX || !matches!(self.subclass, iax::ACK | iax::INVAL | iax::VNAK)
+    }
+
+    /// Writes the frame. A subclass from 128 on must be a power of two, as media formats are.
+    pub fn write(&self) -> Vec<u8> {
+        let mut out = Vec::with_capacity(12 + self.data.len());
+        out.extend_from_slice(&(self.source | 0x8000).to_be_bytes());
+        let again = if self.again { 0x8000 } else { 0 };
+        out.extend_from_slice(&(self.destination & 0x7fff | again).to_be_bytes());
+        out.extend_from_slice(&self.timestamp.to_be_bytes());
+        out.extend_from_slice(&[self.oseq, self.iseq, self.kind]);
+        out.push(if self.subclass < 0x80 {
+            self.subclass as u8
+        } else {
+            0x80 | self.subclass.trailing_zeros() as u8
+        });
+        out.extend_from_slice(self.data);
+        out
+    }
+}
+
+/// Writes a mini frame.
+pub fn write_mini(source: u16, timestamp: u16, data: &[u8]) -> Vec<u8> {
+    let mut out = Vec::with_capacity(4 + data.len());
+    out.extend_from_slice(&(source & 0x7fff).to_be_bytes());
+    out.extend_from_slice(&timestamp.to_be_bytes());
+    out.extend_from_slice(data);
+    out
+}
+
+fn full_head<'a>(input: &mut &'a [u8]) -> ModalResult<Full<'a>> {
+    let (source, destination, timestamp) = (be_u16, be_u16, be_u32).parse_next(input)?;
+    let (oseq, iseq, kind, subclass) = (u8, u8, u8, u8).parse_next(input)?;
+    let subclass = match subclass {
+        low @ 0..=0x7f => u32::from(low),
+        // A power of two; the format of all ones that RFC 5456 sets aside is none of ours.
+        high => 1_u32.checked_shl(u32::from(high & 0x7f)).unwrap_or(0),
+    };
+    Ok(Full {
+        source: source & 0x7fff,
+        destination: destination & 0x7fff,
+        again: destination & 0x8000 != 0,
+        timestamp,
+        oseq,
+        iseq,
+        kind,
+        subclass,
+        data: &[],
+    })
+}
+
+/// Reads a datagram; `None`: it is no frame, or one of a kind that is not spoken here (meta frames).
+pub fn parse(datagram: &[u8]) -> Option<Frame<'_>> {
+    let mut rest = datagram;
+    if datagram.first()? & 0x80 != 0 {
+        let full = full_head.parse_next(&mut rest).ok()?;
+        return Some(Frame::Full(Full { data: rest, ..full })).filter(|_| full.source != 0);
+    }
+    let head: ModalResult<(u16, u16)> = (be_u16, be_u16).parse_next(&mut rest);
+    let (source, timestamp) = head.ok()?;
+    Some(Frame::Mini { source, timestamp, data: rest }).filter(|_| source != 0)
+}
+
+/// Information elements in their order.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Elements<'a>(Vec<(u8, &'a [u8])>);
+
+impl<'a> Elements<'a> {
+    /// Reads a frame's elements; `None`: they are cut short or garbled.
+    pub fn parse(data: &'a [u8]) -> Option<Elements<'a>> {
+        let element = (u8::<_, ErrMode<ContextError>>, length_take(u8));
+        repeat(0.., element).parse(data).ok().map(Elements)
+    }
+
+    /// The first element of that kind.
+    pub fn get(&self, element: u8) -> Option<&'a [u8]> {
+        self.0.iter().find(|(e, _)| *e == element).map(|(_, v)| *v)
+    }
+
+    /// Its text, if it is text.
+    pub fn text(&self, element: u8) -> Option<&'a str> {
+        self.get(element).and_then(|v| std::str::from_utf8(v).ok())
+    }
+
+    /// Its number, of one, two or four bytes.
+    pub fn number(&self, element: u8) -> Option<u32> {
+        let bytes = self.get(element).filter(|v| matches!(v.len(), 1 | 2 | 4))?;
+        Some(bytes.iter().fold(0, |n, b| n << 8 | u32::from(*b)))
+    }
+}
+
+/// Appends an element; a value of more than 255 bytes is cut.
+pub fn put(out: &mut Vec<u8>, element: u8, value: &[u8]) {
+    let value = &value[..value.len().min(255)];
+    out.extend_from_slice(&[element, value.len() as u8]);
+    out.extend_from_slice(value);
+}
--- /dev/null
+++ b/src/iax2/mod.rs
@@ -0,0 +1,14 @@
+//! IAX2 (RFC 5456) over UDP: a front for desk equipment and a client of IAX2 hubs.
+
+pub mod cause;
+pub mod frame;
+pub mod front;
+pub mod hub;
+pub mod media;
+pub mod session;
+
+/// The form of the descriptions that IAX2 legs exchange: a NEW's media formats and calling number.
+pub const FORM: &str = "iax2";
+
+/// The media formats taken where a leg names none: G.711 mu-law and A-law.
+pub const DEFAULT_FORMATS: u32 = 0x4 | 0x8;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -36,6 +36,7 @@
 
 pub mod config;
 pub mod core;
+pub mod iax2;
 pub mod interface;
 mod logic;
 pub mod net;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,16 +1,19 @@
 //! The session controller: wiring and signals only.
 
-use petreldock::config::Config;
-use petreldock::core::{self, Clock, Core, FrontId, Input, Status};
-use petreldock::interface::Micros;
+use petreldock::config::{Config, Iax2Hub};
+use petreldock::core::{self, Clock, Core, FrontId, Hub, Input, Status};
+use petreldock::iax2;
+use petreldock::interface::{Micros, Phase};
 use petreldock::net::{feed, front, hub};
 use std::io;
 use std::process::ExitCode;
-use tokio::net::TcpSocket;
+use tokio::net::{TcpSocket, UdpSocket};
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, Duration, Instant};
 
+/// How an IAX2 hub's endpoint begins, towards the core.
+const IAX2: &str = "iax2:";
 /// After SIGTERM callers still come for a while; nothing ends before this.
 const STAY: Duration = Duration::from_millis(800);
 /// What is still open this long after SIGTERM is refused: SIGKILL comes no sooner than after 3.7 s.
@@ -49,17 +52,37 @@
     let (inputs, queue) = mpsc::channel(core::QUEUE);
     let (answers, to_front) = mpsc::channel(core::ANSWERS);
     let (status, watched) = watch::channel(Status::default());
+    let operator = &config.operator;
     let connect = {
-        let (inputs, limits) = (inputs.clone(), config.limits.clone());
-        Box::new(move |link, endpoint: &str| {
-            hub::start(link, endpoint, limits.clone(), clock, inputs.clone())
+        let (inputs, limits, local) = (inputs.clone(), config.limits.clone(), operator.local());
+        Box::new(move |link, endpoint: &str| match endpoint.strip_prefix(IAX2).map(str::parse) {
+            Some(Ok(hub)) => iax2::hub::start(link, local, hub, clock, inputs.clone()),
+            _ => hub::start(link, endpoint, limits.clone(), clock, inputs.clone()),
         })
     };
-    let mut core = Core::new(&config, vec![answers], connect, status, clock.now())
+    let mut fronts = vec![answers];
+    if let Some(listen) = operator.iax2_listen {
+        let (answers, to_front) = mpsc::channel(core::ANSWERS);
+        fronts.push(answers);
+        let named = |e: io::Error| io::Error::new(e.kind(), format!("iax2.listen: {listen}: {e}"));
+        let socket = UdpSocket::bind(listen).await.map_err(named)?;
+        let front = iax2::front::Front::new(FrontId(1), &operator.iax2_calls);
+        tokio::spawn(iax2::front::run(front, socket, clock, inputs.clone(), to_front));
+        eprintln!("petreldock {}: serving IAX2 at {listen}", config.name);
+    }
+    let mut core = Core::new(&config, fronts, connect, status, clock.now())
         .map_err(|e| io::Error::new(io::ErrorKind::InvalidInput, format!("settings: {e}")))?;
     let mut seq = 0;
     let known = feed::inputs(config.known.clone(), &mut seq);
     known.into_iter().for_each(|input| core.handle(clock.now(), input));
+    let iax2_hub = |h: &Iax2Hub| Hub {
+        uid: h.uid.clone(),
+        endpoint: format!("{IAX2}{}", h.address),
+        place: h.place,
+        phase: Phase::Up,
+        born: None,
+    };
+    core.fix(clock.now(), operator.iax2_hubs.iter().map(iax2_hub).collect());
     tokio::spawn(core::run(core, queue, clock));
     if let Some(address) = config.change_log {
         tokio::spawn(feed::run(address, seq, inputs.clone()));
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -386,7 +386,11 @@
                 Some(open) => {
                     let contact = format!("<sip:petreldock@{}>", self.front.listen);
                     let more = [("Contact", &*contact), ("Content-Type", SDP)];
-                    self.respond((200, "OK"), &open.headers, &more, &description.bytes);
+                    // A hub of another protocol describes nothing that a SIP caller could use.
+                    match description.form == SDP {
+                        true => self.respond((200, "OK"), &open.headers, &more, &description.bytes),
+                        false => self.respond((200, "OK"), &open.headers, &more[..1], &[]),
+                    }
                 }
                 // Danger: the caller gave its set-up up while the answer was under way to it. Nobody
                 // has the call: it is released at the hub, and no second answer goes out.
--- a/src/net/hub.rs
+++ b/src/net/hub.rs
@@ -422,7 +422,9 @@
                     (code::NUMBER, s.number.as_bytes()),
                     (code::DESCRIPTION, &s.description.bytes[..]),
                 ];
-                binary::write(&mut self.output, kind::SET_UP, s.call.0, &parameters)
+                // A caller of another protocol describes nothing that a table hub could use.
+                let count = if s.description.form == SDP { 4 } else { 3 };
+                binary::write(&mut self.output, kind::SET_UP, s.call.0, &parameters[..count])
             }
             Out::GiveUp(call, _) => release(&mut self.output, *call, Cause::NORMAL),
             Out::Release(call, cause) => release(&mut self.output, *call, *cause),
