--- /dev/null
+++ b/tests/core.rs
@@ -0,0 +1,301 @@
+//! The core with injected time and no sockets: each guard of the rules, and what crosses what.
+
+#[path = "common/site.rs"]
+mod site;
+
+use petreldock::core::*;
+use petreldock::interface::*;
+use petreldock::net::feed;
+use std::sync::{Arc, Mutex};
+use tokio::sync::{mpsc, watch};
+
+const SECOND: u64 = 1_000_000;
+const START: u64 = 1_700_000_000_000_000;
+
+struct Opened {
+    link: LinkId,
+    endpoint: String,
+    commands: mpsc::Receiver<ToHub>,
+}
+
+struct Desk {
+    core: Core,
+    front: mpsc::Receiver<ToFront>,
+    links: Arc<Mutex<Vec<Opened>>>,
+    status: watch::Receiver<Status>,
+    now: u64,
+}
+
+fn hub(uid: &str, endpoint: &str, place: i64, phase: Phase) -> Hub {
+    Hub { uid: uid.into(), endpoint: endpoint.into(), place, phase, born: None }
+}
+
+impl Desk {
+    fn new() -> Desk {
+        let targets = [
+            site::target("a", "10.0.0.1:1", 0, "in_service"),
+            site::target("b", "10.0.0.2:1", 1, "in_service"),
+        ];
+        let config = site::config(&targets);
+        let (sender, front) = mpsc::channel(100);
+        let links: Arc<Mutex<Vec<Opened>>> = Arc::default();
+        let opened = links.clone();
+        let connect = Box::new(move |link, endpoint: &str| {
+            let (sender, commands) = mpsc::channel(100);
+            opened.lock().expect("lock").push(Opened { link, endpoint: endpoint.into(), commands });
+            sender
+        });
+        let (status, watched) = watch::channel(Status::default());
+        let core = Core::new(&config, vec![sender], connect, status, Micros(START)).expect("sane");
+        let mut desk = Desk { core, front, links, status: watched, now: START };
+        for input in feed::inputs(config.known, &mut 0) {
+            desk.tell(input);
+        }
+        desk
+    }
+
+    fn tell(&mut self, input: Input) {
+        self.core.handle(Micros(self.now), input);
+    }
+
+    /// Lets time pass, tick by tick.
+    fn pass(&mut self, span: u64) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now = (self.now + 5_000).min(end);
+            self.core.tick(Micros(self.now));
+        }
+    }
+
+    fn offer(&mut self, call: u64, place: i64) {
+        let deadline = Micros(self.now + 3 * SECOND);
+        self.tell(Input::Offer(Offer {
+            front: FrontId(0),
+            origin: Origin(5),
+            call: CallName(call),
+            class: "voice".into(),
+            number: "7f3a".into(),
+            place,
+            deadline,
+            repeat: false,
+            returned: false,
+            description: Description::default(),
+        }));
+    }
+
+    fn withdraw(&mut self, call: u64) {
+        self.tell(Input::Withdrawn(FrontId(0), Origin(5), CallName(call)));
+    }
+
+    fn hear(&mut self, link: usize, from: FromHub) {
+        let link = self.links.lock().expect("lock")[link].link;
+        self.tell(Input::Hub(link, from));
+    }
+
+    fn released(&mut self, link: usize, call: u64, cause: u8, note: Note) {
+        self.hear(link, FromHub::Released(CallName(call), Cause(cause), note, Report::default()));
+    }
+
+    fn stands(&mut self, link: usize, call: u64) {
+        self.hear(link, FromHub::Stands(CallName(call), Description::default()));
+    }
+
+    fn command(&mut self, link: usize) -> Option<ToHub> {
+        self.links.lock().expect("lock")[link].commands.try_recv().ok()
+    }
+
+    /// The attempt that a link is told to start.
+    fn set_up(&mut self, link: usize) -> Option<u64> {
+        match self.command(link)? {
+            ToHub::SetUp(set_up) => Some(set_up.attempt),
+            other => panic!("a set-up was expected, not {other:?}"),
+        }
+    }
+
+    fn said(&mut self) -> Option<ToFront> {
+        self.front.try_recv().ok()
+    }
+}
+
+#[test]
+fn a_full_hub_leads_to_another_and_one_answer() {
+    let mut desk = Desk::new();
+    desk.offer(1, 0);
+    assert!(desk.set_up(0).is_some() && desk.set_up(1).is_none());
+    desk.released(0, 1, 34, Note::Throttled);
+    assert!(desk.set_up(1).is_some(), "a refusal never ran: the next try needs no pause");
+    desk.stands(1, 1);
+    assert!(matches!(desk.said(), Some(ToFront::Answer(Origin(5), CallName(1), _))));
+    desk.stands(1, 1);
+    desk.pass(4 * SECOND);
+    assert!(desk.said().is_none(), "one answer, and no deadline once it stands");
+    desk.released(1, 1, 16, Note::None);
+    assert!(matches!(desk.said(), Some(ToFront::Release(Some(Origin(5)), CallName(1), Cause(16)))));
+    desk.released(1, 1, 16, Note::None);
+    assert!(desk.said().is_none(), "a release that the hub repeats is passed on once");
+    assert_eq!(desk.core.open_calls(), 0);
+}
+
+#[test]
+fn a_set_up_that_never_began_is_taken_back() {
+    let mut desk = Desk::new();
+    desk.offer(1, 0);
+    let attempt = desk.set_up(0).expect("sent");
+    desk.withdraw(1);
+    assert!(matches!(desk.command(0), Some(ToHub::GiveUp(CallName(1), n)) if n == attempt));
+    assert_eq!(desk.core.open_calls(), 1, "the attempt ends once its link says so");
+    desk.hear(0, FromHub::GivenUp { attempt, call: CallName(1), began: false });
+    assert_eq!(desk.core.open_calls(), 0);
+    assert!(desk.said().is_none(), "no answer is owed");
+}
+
+#[test]
+fn an_answer_that_crosses_the_give_up_is_released_and_not_passed_on() {
+    for written in [false, true] {
+        let mut desk = Desk::new();
+        desk.offer(1, 0);
+        let attempt = desk.set_up(0).expect("sent");
+        desk.withdraw(1);
+        assert!(matches!(desk.command(0), Some(ToHub::GiveUp(..))));
+        if written {
+            desk.hear(0, FromHub::GivenUp { attempt, call: CallName(1), began: true });
+        }
+        desk.stands(0, 1);
+        assert!(matches!(desk.command(0), Some(ToHub::Release(CallName(1), Cause(16)))));
+        assert!(desk.said().is_none());
+    }
+}
+
+#[test]
+fn the_pause_starts_once_the_give_up_is_written() {
+    let mut desk = Desk::new();
+    desk.offer(1, 0);
+    let attempt = desk.set_up(0).expect("sent");
+    // The hub is silent: the module calls the attempt off while another hub can still take it.
+    desk.pass(SECOND);
+    assert!(matches!(desk.command(0), Some(ToHub::GiveUp(..))));
+    assert!(desk.set_up(1).is_none(), "no second attempt while the first is out");
+    desk.hear(0, FromHub::GivenUp { attempt, call: CallName(1), began: true });
+    desk.pass(195_000);
+    assert!(desk.set_up(1).is_none(), "not within 200 ms of the give-up's writing");
+    desk.pass(10_000);
+    assert!(desk.set_up(1).is_some() || desk.set_up(0).is_some() || desk.said().is_some());
+}
+
+#[test]
+fn a_reset_set_up_waits_the_pause_out() {
+    let mut desk = Desk::new();
+    desk.offer(1, 0);
+    let attempt = desk.set_up(0).expect("sent");
+    desk.hear(0, FromHub::Broken(CallName(1), attempt));
+    desk.pass(195_000);
+    assert!(desk.set_up(0).is_none() && desk.set_up(1).is_none());
+    desk.pass(10_000);
+    assert!(desk.set_up(0).or(desk.set_up(1)).is_some());
+}
+
+#[test]
+fn a_call_nobody_takes_is_answered_before_its_deadline() {
+    let mut desk = Desk::new();
+    desk.offer(1, 0);
+    desk.pass(3 * SECOND);
+    assert!(matches!(desk.said(), Some(ToFront::Fail(..) | ToFront::Refuse(..))));
+    assert!(desk.said().is_none());
+    desk.stands(0, 1);
+    assert!(desk.said().is_none(), "too late");
+}
+
+#[test]
+fn a_drain_is_told_to_the_link_and_ends_set_ups_after_its_grace() {
+    let mut desk = Desk::new();
+    desk.tell(Input::List(false, vec![hub("b", "10.0.0.2:1", 1, Phase::Draining)]));
+    let until = Micros(desk.now + 2 * SECOND);
+    assert!(matches!(desk.command(1), Some(ToHub::NotAfter(Some(t))) if t == until));
+    desk.pass(2 * SECOND);
+    for call in 0..20 {
+        desk.offer(call, 1);
+    }
+    assert!(desk.command(1).is_none());
+}
+
+#[test]
+fn a_hub_that_is_gone_or_dead_ends_what_stood_there_and_an_old_address_is_a_new_hub() {
+    let mut desk = Desk::new();
+    for call in [1, 2] {
+        desk.offer(call, call as i64 - 1);
+        assert!(desk.set_up(call as usize - 1).is_some());
+        desk.stands(call as usize - 1, call);
+        assert!(matches!(desk.said(), Some(ToFront::Answer(..))));
+    }
+    desk.hear(1, FromHub::Dead);
+    assert!(matches!(desk.said(), Some(ToFront::Release(_, CallName(2), Cause(41)))));
+    let replaced = vec![hub("a", "", 0, Phase::Gone), hub("c", "10.0.0.1:1", 0, Phase::Up)];
+    desk.tell(Input::List(false, replaced));
+    assert!(matches!(desk.said(), Some(ToFront::Release(_, CallName(1), Cause(41)))));
+    assert!(matches!(desk.command(0), Some(ToHub::Close)));
+    let links = desk.links.lock().expect("lock");
+    assert_eq!((links.len(), &*links[2].endpoint), (3, "10.0.0.1:1"));
+    drop(links);
+    desk.released(0, 9, 16, Note::None);
+    assert!(desk.said().is_none(), "the closed link is heard no more");
+}
+
+#[test]
+fn a_release_of_an_unknown_call_is_passed_on_once() {
+    let mut desk = Desk::new();
+    desk.released(0, 77, 16, Note::None);
+    assert!(matches!(desk.said(), Some(ToFront::Release(None, CallName(77), Cause(16)))));
+    desk.released(1, 77, 16, Note::None);
+    assert!(desk.said().is_none());
+}
+
+#[test]
+fn a_callers_release_reaches_the_hub_also_for_a_call_from_before_the_start() {
+    let mut desk = Desk::new();
+    desk.offer(1, 0);
+    desk.set_up(0).expect("sent");
+    desk.stands(0, 1);
+    desk.tell(Input::Hangup(FrontId(0), CallName(1), Cause(16)));
+    assert!(matches!(desk.command(0), Some(ToHub::Release(CallName(1), Cause(16)))));
+    assert_eq!(desk.core.open_calls(), 0);
+    desk.tell(Input::Hangup(FrontId(0), CallName(55), Cause(16)));
+    assert!(matches!(desk.command(0), Some(ToHub::Release(CallName(55), _))));
+    assert!(matches!(desk.command(1), Some(ToHub::Release(CallName(55), _))));
+}
+
+#[test]
+fn repeats_unknown_classes_and_foreign_connections_do_no_harm() {
+    let mut desk = Desk::new();
+    desk.offer(1, 0);
+    desk.offer(1, 0);
+    assert!(desk.set_up(0).is_some() && desk.command(0).is_none(), "a repeat starts nothing");
+    desk.tell(Input::Withdrawn(FrontId(0), Origin(6), CallName(1)));
+    assert!(desk.command(0).is_none(), "another connection's end withdraws nothing here");
+    let deadline = Micros(desk.now + SECOND);
+    desk.tell(Input::Offer(Offer {
+        front: FrontId(0),
+        origin: Origin(5),
+        call: CallName(2),
+        class: "odd".into(),
+        number: "1".into(),
+        place: 0,
+        deadline,
+        repeat: false,
+        returned: false,
+        description: Description::default(),
+    }));
+    assert!(matches!(desk.said(), Some(ToFront::Fail(_, CallName(2)))));
+}
+
+#[test]
+fn a_stop_refuses_what_is_left_at_its_time() {
+    let mut desk = Desk::new();
+    desk.offer(1, 0);
+    desk.tell(Input::Stop(Micros(desk.now + SECOND / 2)));
+    desk.pass(5_000);
+    assert_eq!(*desk.status.borrow(), Status { settled: false, stopping: true, unanswered: 1 });
+    desk.pass(SECOND / 2);
+    assert!(matches!(desk.said(), Some(ToFront::Refuse(_, CallName(1), _))));
+    desk.pass(5_000);
+    assert_eq!(desk.status.borrow().unanswered, 0);
+}
