Test the started program over sockets, and mixed SIP and IAX2 load by the peers' records

Stand-ins for callers, table hubs, the change log, IAX2 hubs and desk equipment live in tests/common; tests/program.rs and tests/mixed.rs start the program on free loopback ports.

--- /dev/null
+++ b/tests/mixed.rs
@@ -0,0 +1,200 @@
+//! The started program between SIP and IAX2 callers and hubs of both kinds, under mixed load. The
+//! peers' records show one answer a call, no overlapping attempts, the pause and the drain's deadline.
+
+#[path = "common/iax2_peers.rs"]
+mod iax2_peers;
+#[path = "common/peers.rs"]
+mod peers;
+#[path = "common/site.rs"]
+mod site;
+
+use iax2_peers::{Iax2Hub, Phones};
+use peers::*;
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, UdpSocket};
+use std::time::{Duration, Instant};
+
+const PAUSE: Duration = Duration::from_millis(200);
+/// The record of a give-up is written a little after the program wrote it.
+const RECORD_LAG: Duration = Duration::from_millis(60);
+
+struct Site {
+    record: Record,
+    sip_hub: Hub,
+    iax2_hub: Iax2Hub,
+    log: ChangeLog,
+    program: Program,
+    iax2: SocketAddr,
+}
+
+/// A table hub at place 0, an IAX2 hub at place 1, and both fronts.
+fn start(sip_manner: Manner, iax2_manner: Manner) -> Site {
+    let record = Record::default();
+    let sip_hub = Hub::start(0, sip_manner, &record);
+    let iax2_hub = Iax2Hub::start(1, iax2_manner, &record);
+    let log = ChangeLog::start(100);
+    let iax2 = UdpSocket::bind("127.0.0.1:0").and_then(|s| s.local_addr()).expect("a free port");
+    let operator = format!(
+        r#"{{"iax2":{{"listen":"{iax2}","local":"127.0.0.1:0","hubs":[{{"uid":"desk","address":"{}","place":1}}],
+            "calls":{{"class":"voice","answerWithinMs":3000,"place":1}}}}}}"#,
+        iax2_hub.address
+    );
+    let targets = [site::target("s-0", &sip_hub.address.to_string(), 0, "in_service")];
+    let program = Program::start(&targets, Some(log.address), Some(&operator));
+    Site { record, sip_hub, iax2_hub, log, program, iax2 }
+}
+
+/// Checks each number's attempts over all hubs; gives how many attempts there were.
+fn check_attempts(record: &Record) -> usize {
+    let mut numbers: BTreeMap<u64, Vec<(Instant, usize, Seen)>> = BTreeMap::new();
+    for (at, number, hub, seen) in record.lock().expect("lock").iter() {
+        numbers.entry(*number).or_default().push((*at, *hub, *seen));
+    }
+    let mut attempts = 0;
+    for (number, mut events) in numbers {
+        events.sort_by_key(|e| e.0);
+        let (mut out, mut not_before) = (None, None);
+        for (at, hub, seen) in events {
+            match seen {
+                Seen::SetUp => {
+                    attempts += 1;
+                    assert_eq!(out, None, "{number:x}: an attempt at {hub} while one is out");
+                    assert!(not_before.is_none_or(|t| at >= t), "{number:x}: sent within the pause");
+                    out = Some(hub);
+                }
+                Seen::Refused => out = None,
+                Seen::Reset => {
+                    (out, not_before) = (None, Some(at + PAUSE));
+                }
+                // A give-up or a release. A call that stood and is over is not sent again.
+                Seen::Release(_) if out == Some(hub) => {
+                    (out, not_before) = (None, Some(at + PAUSE - RECORD_LAG));
+                }
+                Seen::Release(_) | Seen::Answered => {}
+            }
+        }
+    }
+    attempts
+}
+
+#[test]
+fn calls_cross_and_media_flows_between_iax2_legs() {
+    let site = start(Manner::Answer, Manner::Answer);
+    let mut phones = Phones::connect(site.iax2);
+    phones.dial(10, 0x510);
+    until("the desk call stands", || {
+        phones.drive(Duration::from_millis(20));
+        (phones.line(10).answers == [None]).then_some(())
+    });
+    phones.speak(10, b"hello");
+    until("voice comes back", || {
+        phones.drive(Duration::from_millis(20));
+        phones.line(10).voice.contains(&b"hello".to_vec()).then_some(())
+    });
+    // A SIP caller at the IAX2 hub, and desk equipment at the table hub.
+    let mut caller = Caller::connect(site.program.address);
+    caller.invite(0x511, 3000, 1);
+    let (code, _, body) = caller.answer(0x511).expect("an answer");
+    assert_eq!((code, body.len()), (200, 0), "signalled, without media");
+    caller.send("BYE", 0x511, "", b"");
+    until("the IAX2 hub hears the release", || {
+        let record = site.record.lock().expect("lock");
+        record.iter().any(|e| (e.1, e.2, e.3) == (0x511, 1, Seen::Release(16))).then_some(())
+    });
+    site.iax2_hub.set(Manner::Full);
+    phones.dial(11, 0x512);
+    until("the table hub takes what the IAX2 hub refuses", || {
+        phones.drive(Duration::from_millis(20));
+        (phones.line(11).answers == [None]).then_some(())
+    });
+    assert_eq!(site.sip_hub.seen(0x512), [Seen::SetUp, Seen::Answered]);
+    phones.hang_up(11);
+    phones.drive(Duration::from_millis(50));
+    site.sip_hub.wait_for(0x512, Seen::Release(16));
+}
+
+#[test]
+fn a_desk_call_cancelled_while_its_set_up_waits_at_a_slow_hub() {
+    let site = start(Manner::Silent, Manner::AnswerAfter(Duration::from_millis(900)));
+    let mut phones = Phones::connect(site.iax2);
+    phones.dial(10, 0x520);
+    until("the set-up waits", || {
+        phones.drive(Duration::from_millis(10));
+        (!site.record.lock().expect("lock").is_empty()).then_some(())
+    });
+    phones.hang_up(10);
+    phones.drive(Duration::from_millis(1200));
+    assert!(phones.line(10).answers.is_empty(), "no answer to a call that was given up");
+    let seen: Vec<_> = site.record.lock().expect("lock").iter().map(|e| e.3).collect();
+    assert_eq!(seen, [Seen::SetUp, Seen::Release(16)], "the hub is told, and never answers");
+}
+
+#[test]
+fn mixed_load_keeps_the_rules() {
+    let site = start(Manner::AnswerAfter(Duration::from_millis(30)), Manner::Answer);
+    let mut callers: Vec<Caller> = (0..4).map(|_| Caller::connect(site.program.address)).collect();
+    let mut phones = Phones::connect(site.iax2);
+    let (mut told, mut cancelled) = (None, Vec::new());
+    let rounds = 150_u64;
+    for round in 0..rounds {
+        match round {
+            20 => site.sip_hub.set(Manner::Reset),
+            40 => site.iax2_hub.set(Manner::Full),
+            50 => site.sip_hub.set(Manner::Silent),
+            70 => site.iax2_hub.set(Manner::Reset),
+            80 => site.sip_hub.set(Manner::Answer),
+            90 => {
+                site.log.tell(&[site::target("s-0", &site.sip_hub.address.to_string(), 0, "terminating")]);
+                site.iax2_hub.set(Manner::Answer);
+            }
+            _ => {}
+        }
+        // A jump in calls: eight at once instead of one.
+        let jump = if (60..63).contains(&round) { 8 } else { 1 };
+        for extra in 0..jump {
+            let call = 0x1000 + round * 16 + extra;
+            let caller = &mut callers[(call % 4) as usize];
+            caller.invite(call, 2500, (call % 2) as i64);
+            if round % 10 == 7 {
+                cancelled.push(call);
+            }
+        }
+        phones.dial(100 + round as u16, 0x9000 + round);
+        phones.drive(Duration::from_millis(25));
+        if let Some(call) = cancelled.last().filter(|c| (**c - 0x1000) / 16 == round) {
+            callers[(call % 4) as usize].send("CANCEL", *call, "", b"");
+        }
+        if told.is_none() && site.log.polls.lock().expect("lock").contains(&2) {
+            told = Some(Instant::now());
+        }
+        callers[(round % 4) as usize].take_in();
+    }
+    phones.drive(Duration::from_millis(3500));
+    let mut by_status: BTreeMap<u16, usize> = BTreeMap::new();
+    for round in 0..rounds {
+        let jump = if (60..63).contains(&round) { 8 } else { 1 };
+        for extra in 0..jump {
+            let call = 0x1000 + round * 16 + extra;
+            let caller = &mut callers[(call % 4) as usize];
+            let (status, ..) = caller.answer(call).expect("each call is answered");
+            caller.take_in();
+            let finals = caller.said.iter().filter(|s| matches!(s, Said::Answer(c, ..) if *c == call));
+            assert_eq!(finals.count(), 1, "{call:x}: one final answer");
+            *by_status.entry(status).or_default() += 1;
+        }
+        assert_eq!(
+            phones.line(100 + round as u16).answers.len(),
+            1,
+            "line {}: one final answer",
+            100 + round
+        );
+    }
+    assert!(by_status[&200] > 25 && by_status.len() > 1, "served and refused: {by_status:?}");
+    let attempts = check_attempts(&site.record);
+    assert!(attempts > 100, "{attempts} attempts");
+    let told = told.expect("the drain was told");
+    let late = site.record.lock().expect("lock").iter().any(|(at, _, hub, seen)| {
+        *hub == 0 && *seen == Seen::SetUp && *at > told + Duration::from_millis(2050)
+    });
+    assert!(!late, "nothing new at a draining hub after its grace");
+}
--- /dev/null
+++ b/tests/program.rs
@@ -0,0 +1,248 @@
+//! The started program over sockets: what callers, hubs and the change log see of it.
+
+#[path = "common/peers.rs"]
+mod peers;
+#[path = "common/site.rs"]
+mod site;
+
+use peers::*;
+use petreldock::net::binary::{code, kind};
+use std::io::{Read, Write};
+use std::process::{Command, Stdio};
+use std::time::{Duration, Instant};
+
+fn targets(hubs: &[&Hub]) -> Vec<String> {
+    let target = |h: &&Hub| {
+        site::target(&format!("s-{}", h.number), &h.address.to_string(), h.number as i64, "in_service")
+    };
+    hubs.iter().map(target).collect()
+}
+
+fn status(caller: &mut Caller, call: u64) -> u16 {
+    caller.answer(call).expect("an answer").0
+}
+
+#[test]
+fn served_and_released_on_any_connection() {
+    let record = Record::default();
+    let hub = Hub::start(0, Manner::Answer, &record);
+    let program = Program::start(&targets(&[&hub]), None, None);
+    let mut first = Caller::connect(program.address);
+    first.invite(0xa1, 3000, 0);
+    let (code, _, body) = first.answer(0xa1).expect("an answer");
+    assert_eq!((code, &body[..]), (200, HUB_BODY), "the hub's description, unchanged");
+    // The caller hangs up on another connection.
+    let mut second = Caller::connect(program.address);
+    second.send("BYE", 0xa1, "Reason: Q.850;cause=31\r\n", b"");
+    hub.wait_for(0xa1, Seen::Release(31));
+    second.wait_for("BYE is heard", |s| matches!(s, Said::Other(0xa1, m, 200) if m == "BYE"));
+    // The hub ends one whose connection is gone: its release comes on the other.
+    first.invite(0xa2, 3000, 0);
+    assert_eq!(status(&mut first, 0xa2), 200);
+    drop(first);
+    hub.send(kind::RELEASE, 0xa2, &[(code::CAUSE, &[16])]);
+    second.wait_for("the release", |s| *s == Said::Bye(0xa2, 16));
+    // ... and with no connection open, on the next one.
+    second.invite(0xa3, 3000, 0);
+    assert_eq!(status(&mut second, 0xa3), 200);
+    drop(second);
+    hub.send(kind::RELEASE, 0xa3, &[(code::CAUSE, &[41])]);
+    let mut third = Caller::connect(program.address);
+    third.wait_for("the parked release", |s| *s == Said::Bye(0xa3, 41));
+    // A release of a call from before the start is passed on as well.
+    hub.send(kind::RELEASE, 0xbeef, &[(code::CAUSE, &[16])]);
+    third.wait_for("an unknown call's release", |s| *s == Said::Bye(0xbeef, 16));
+}
+
+#[test]
+fn refused_with_when_to_come_back() {
+    let record = Record::default();
+    let hubs = [Hub::start(0, Manner::Full, &record), Hub::start(1, Manner::Full, &record)];
+    let program = Program::start(&targets(&[&hubs[0], &hubs[1]]), None, None);
+    let mut caller = Caller::connect(program.address);
+    caller.invite(0xb1, 3000, 0);
+    let (code, away, _) = caller.answer(0xb1).expect("an answer");
+    assert_eq!(code, 503);
+    assert!(away.is_some_and(|ms| ms > 0 && ms <= 2000), "{away:?}");
+    assert!(hubs.iter().all(|h| h.seen(0xb1) == [Seen::SetUp, Seen::Refused]), "each is asked once");
+    caller.invite(0xb2, 3000, 0);
+    hubs[1].set(Manner::Answer);
+    status(&mut caller, 0xb2);
+}
+
+#[test]
+fn cancelled_while_its_set_up_waits() {
+    let record = Record::default();
+    let hub = Hub::start(0, Manner::Silent, &record);
+    let program = Program::start(&targets(&[&hub]), None, None);
+    let mut caller = Caller::connect(program.address);
+    caller.invite(0xc1, 3000, 0);
+    hub.wait_for(0xc1, Seen::SetUp);
+    caller.send("CANCEL", 0xc1, "", b"");
+    assert_eq!(status(&mut caller, 0xc1), 487);
+    hub.wait_for(0xc1, Seen::Release(16));
+    // The hub's answer crosses: it is released, and the caller hears nothing more.
+    hub.send(kind::ANSWER, 0xc1, &[(code::DESCRIPTION, b"late")]);
+    until("the late answer is released", || {
+        (hub.seen(0xc1).iter().filter(|s| **s == Seen::Release(16)).count() == 2).then_some(())
+    });
+    caller.send("CANCEL", 0xc1, "", b"");
+    caller.wait_for("no such set-up", |s| matches!(s, Said::Other(0xc1, _, 481)));
+    let finals = caller.said.iter().filter(|s| matches!(s, Said::Answer(0xc1, ..))).count();
+    assert_eq!(finals, 1);
+    // A lost connection withdraws its set-ups too.
+    caller.invite(0xc2, 3000, 0);
+    hub.wait_for(0xc2, Seen::SetUp);
+    drop(caller);
+    hub.wait_for(0xc2, Seen::Release(16));
+}
+
+#[test]
+fn a_reset_waits_the_pause_out_and_a_dead_hub_ends_what_stood() {
+    let record = Record::default();
+    let other = Hub::start(0, Manner::Reset, &record);
+    let hub = Hub::start(1, Manner::Answer, &record);
+    let program = Program::start(&targets(&[&other, &hub]), None, None);
+    let mut caller = Caller::connect(program.address);
+    caller.invite(0xd1, 3000, 0);
+    assert_eq!(status(&mut caller, 0xd1), 200);
+    let record = record.lock().expect("lock").clone();
+    let at = |seen| record.iter().filter(|e| e.3 == seen).map(|e| e.0).max().expect("seen");
+    assert_eq!(hub.seen(0xd1), [Seen::SetUp, Seen::Answered]);
+    assert!(at(Seen::SetUp) - at(Seen::Reset) >= Duration::from_millis(200), "{record:?}");
+    // A lost connection alone ends no call that stands.
+    hub.close_connections();
+    until("the link is up again", || (!hub.connections.lock().expect("lock").is_empty()).then_some(()));
+    caller.invite(0xd2, 3000, 1);
+    assert_eq!(status(&mut caller, 0xd2), 200);
+    assert!(!caller.said.contains(&Said::Bye(0xd1, 41)));
+    hub.die();
+    for call in [0xd1, 0xd2] {
+        caller.wait_for("the dead hub's calls are released", |s| *s == Said::Bye(call, 41));
+    }
+}
+
+#[test]
+fn a_silent_hub_costs_a_refusal_in_time() {
+    let record = Record::default();
+    let hub = Hub::start(0, Manner::Silent, &record);
+    let program = Program::start(&targets(&[&hub]), None, None);
+    let mut caller = Caller::connect(program.address);
+    let sent = Instant::now();
+    caller.invite(0xe1, 1500, 0);
+    assert!(status(&mut caller, 0xe1) >= 480);
+    assert!(sent.elapsed() >= Duration::from_millis(1000), "{:?}", sent.elapsed());
+    hub.wait_for(0xe1, Seen::Release(16));
+}
+
+#[test]
+fn a_drain_in_the_change_log_moves_calls_away() {
+    let record = Record::default();
+    let hubs = [Hub::start(0, Manner::Answer, &record), Hub::start(1, Manner::Answer, &record)];
+    // Each answer closes the connection: the poller must come back, and from where it was.
+    let log = ChangeLog::start(1);
+    let program = Program::start(&targets(&[&hubs[0], &hubs[1]]), Some(log.address), None);
+    let mut caller = Caller::connect(program.address);
+    caller.invite(0xf0, 3000, 0);
+    assert_eq!(status(&mut caller, 0xf0), 200);
+    assert_eq!(hubs[0].seen(0xf0), [Seen::SetUp, Seen::Answered]);
+    log.tell(&[site::target("s-0", &hubs[0].address.to_string(), 0, "terminating")]);
+    until("the poller has the event", || log.polls.lock().expect("lock").contains(&2).then_some(()));
+    std::thread::sleep(Duration::from_millis(2100));
+    let drained = Instant::now();
+    for call in 0xf1..0xf9 {
+        caller.invite(call, 3000, 0);
+        status(&mut caller, call);
+    }
+    let late = record.lock().expect("lock").iter().any(|e| e.0 > drained && e.2 == 0 && e.3 == Seen::SetUp);
+    assert!(!late, "nothing new after the drain's grace");
+    assert!((0xf1..0xf9).any(|c| hubs[1].seen(c).contains(&Seen::Answered)));
+    log.tell(&[site::target("s-0", &hubs[0].address.to_string(), 0, "terminated")]);
+    caller.wait_for("what stood there is released", |s| *s == Said::Bye(0xf0, 41));
+    let polls = log.polls.lock().expect("lock").clone();
+    assert!(polls.windows(2).all(|w| w[0] <= w[1]) && polls[0] == 1, "without gaps: {polls:?}");
+}
+
+#[test]
+fn sigterm_answers_all_and_ends() {
+    let record = Record::default();
+    let hub = Hub::start(0, Manner::AnswerAfter(Duration::from_millis(900)), &record);
+    let mut program = Program::start(&targets(&[&hub]), None, None);
+    let mut caller = Caller::connect(program.address);
+    caller.invite(0x71, 3000, 0);
+    hub.wait_for(0x71, Seen::SetUp);
+    program.terminate();
+    let end = Instant::now();
+    let mut late = until("still accepting", || Caller::try_connect(program.address));
+    late.invite(0x72, 3000, 0);
+    assert_eq!(status(&mut caller, 0x71), 200);
+    late.send("OPTIONS", 0, "", b"");
+    assert_eq!(late.answer(0).map(|a| a.0), Some(503), "it asks for no more callers");
+    assert_eq!(late.answer(0x72).map(|a| a.0), Some(200));
+    let exit = until("the program ends", || program.child.try_wait().expect("waited"));
+    assert!(exit.success() && end.elapsed() >= Duration::from_millis(700));
+}
+
+#[test]
+fn bad_input_harms_no_other_call() {
+    let record = Record::default();
+    let hub = Hub::start(0, Manner::Answer, &record);
+    let program = Program::start(&targets(&[&hub]), None, None);
+    let mut caller = Caller::connect(program.address);
+    caller.send("INVITE", 0x91, "Call-Kind: voice\r\nAnswer-Within: soon\r\n", b"");
+    assert_eq!(status(&mut caller, 0x91), 400);
+    caller.send("INVITE", 0x92, "Call-Kind voice\r\n", b"");
+    assert_eq!(status(&mut caller, 0x92), 400, "a header without a colon");
+    caller.send("INVITE", 0x93, "Call-Kind: odd\r\nAnswer-Within: 900\r\nX-New: 1\r\n", b"");
+    assert_eq!(status(&mut caller, 0x93), 500, "an unknown class is failed, an unknown header skipped");
+    caller.send("PUBLISH", 0x94, "", b"");
+    caller.wait_for("405", |s| matches!(s, Said::Other(0x94, _, 405)));
+    caller.invite(0x95, 3000, 0);
+    assert_eq!(status(&mut caller, 0x95), 200, "the connection lives on");
+    let mut lost = Caller::connect(program.address);
+    lost.stream.write_all(b"\x16\x03\x01 nonsense\r\n\r\n").expect("written");
+    until("nonsense is closed", || (!lost.take_in()).then_some(()));
+    // A garbled binary message closes its connection only; unknown types and parameters are skipped.
+    hub.send(99, 5, &[(250, b"new")]);
+    hub.send(kind::RELEASE, 0x95, &[(250, b"new"), (code::CAUSE, &[16])]);
+    caller.wait_for("released", |s| *s == Said::Bye(0x95, 16));
+    caller.invite(0x96, 3000, 0);
+    assert_eq!(status(&mut caller, 0x96), 200);
+    let before = hub.connections.lock().expect("lock").len();
+    hub.send_raw(&[0xff; 40]);
+    until("the link is opened anew", || (hub.connections.lock().expect("lock").len() > before).then_some(()));
+    caller.invite(0x97, 3000, 0);
+    assert_eq!(status(&mut caller, 0x97), 200);
+    assert!(!caller.said.contains(&Said::Bye(0x96, 41)), "a call that stands belongs to no connection");
+}
+
+#[test]
+fn a_bad_configuration_stops_the_start_with_one_line() {
+    let run = |document: &str, operator: Option<&str>| {
+        let folder = std::env::temp_dir().join(format!("petreldock-bad-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_petreldock"));
+        command.env_remove("ROUTER_LISTEN").env_remove("ROUTER_NAME").env_remove("PETRELDOCK_OPERATOR");
+        std::fs::write(folder.join("c.json"), document).expect("written");
+        command.env("ROUTER_CONFIG", folder.join("c.json"));
+        if let Some(text) = operator {
+            std::fs::write(folder.join("o.json"), text).expect("written");
+            command.env("PETRELDOCK_OPERATOR", folder.join("o.json"));
+        }
+        let mut child = command.stderr(Stdio::piped()).spawn().expect("it starts");
+        let mut text = String::new();
+        child.stderr.take().expect("piped").read_to_string(&mut text).expect("text");
+        assert!(!child.wait().expect("ended").success(), "{text}");
+        std::fs::remove_dir_all(&folder).expect("removed");
+        text
+    };
+    let good = site::document("127.0.0.1:0", None, &[]);
+    assert_eq!(run("{", None), "petreldock: ROUTER_CONFIG: expected a JSON document\n");
+    let attempts = good.replace("\"maxAttempts\":6", "\"maxAttempts\":\"x\"");
+    assert_eq!(run(&attempts, None), "petreldock: settings.limits.maxAttempts: expected a count\n");
+    let none = good.replace("\"balancers\":1", "\"balancers\":0");
+    assert_eq!(run(&none, None), "petreldock: settings: balancers must be at least 1\n");
+    let hub = r#"{"iax2":{"hubs":[{"uid":"a","address":"here"}]}}"#;
+    let expected = "petreldock: iax2.hubs[0].address: expected an address, as in 10.0.0.4:5060\n";
+    assert_eq!(run(&good, Some(hub)), expected);
+}
