Survive full descriptor tables and vanished hubs without losing what was taken

Now: accept waits until idle connections have made room; is_dead() says what a dial shows; a quiet hub that has calls is dialled after 3 s and is dead after 4.5 s; 256 acknowledgements may wait. Tests: is_dead's table; the program under ulimit -n 40 with 60 idle callers; the examples are read. Ruled out: that a draining hub's closed door cuts its calls (refused while a connection is open).

--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -137,12 +137,15 @@
         }
     });
     loop {
+        // Danger: a connection that is accepted and dropped loses the request that is on it. Over the
+        // bound, new ones wait in the listener's queue until idle ones have made room.
+        if front.board().connections.len() >= front.connections_most {
+            front.board().shed();
+            tokio::time::sleep(SHORT).await;
+            continue;
+        }
         match listener.accept().await {
             Ok((stream, _)) => {
-                if front.board().connections.len() >= front.connections_most {
-                    front.board().shed();
-                    continue;
-                }
                 let _ = stream.set_nodelay(true);
                 let (sender, commands) = mpsc::channel(COMMANDS);
                 let number = {
--- a/src/net/hub.rs
+++ b/src/net/hub.rs
@@ -32,6 +32,12 @@
 const BACKOFF_MOST: Duration = Duration::from_secs(1);
 /// No connection for this long, and none refused: the machine has vanished, and its calls are cut.
 const VANISHED: Duration = Duration::from_millis(2_500);
+/// A hub that has calls and said nothing for this long is dialled, to see whether it is there.
+const QUIET: Duration = Duration::from_secs(3);
+/// ... and has vanished if nothing comes up either once it was quiet for this long.
+const QUIET_MOST: Duration = Duration::from_millis(4_500);
+/// Acknowledgements of releases that may wait: they are free, and a hub may send and never read.
+const HEARD_MOST: usize = 256;
 /// A connection that owes answers and said nothing for this long gets another beside it.
 const SILENT: Duration = Duration::from_millis(2_500);
 /// A spare connection with nothing on it is closed after this.
@@ -79,6 +85,8 @@
     standing: HashMap<CallName, u64>,
     not_after: Option<Micros>,
     next_dial: Option<Instant>,
+    /// When the hub last gave a sign of life.
+    alive: Instant,
     backoff: Duration,
     failing_since: Option<Instant>,
     dialled: u64,
@@ -106,6 +114,7 @@
         standing: HashMap::new(),
         not_after: None,
         next_dial: Some(Instant::now()),
+        alive: Instant::now(),
         backoff: BACKOFF,
         failing_since: None,
         dialled: 0,
@@ -214,10 +223,15 @@
         let now = Instant::now();
         match dialled {
             Ok(stream) => {
-                self.dialled += 1;
+                self.alive = now;
                 self.backoff = BACKOFF;
                 self.failing_since = None;
                 self.next_dial = None;
+                if !self.connections.is_empty() && !self.owes_answers(now) {
+                    // It was dialled to see whether it is there; it is.
+                    return;
+                }
+                self.dialled += 1;
                 let mut queue: VecDeque<Out> =
                     self.parked.drain(..).map(|(_, call, cause)| Out::Release(call, cause)).collect();
                 queue.extend(self.waiting.drain(..).map(Out::SetUp));
@@ -238,27 +252,32 @@
                 self.news.extend(self.waiting.drain(..).map(unreachable));
                 self.next_dial = Some(now + self.backoff);
                 self.backoff = (self.backoff * 2).min(BACKOFF_MOST);
-                if !self.connections.is_empty() {
-                    return;
-                }
-                let since = *self.failing_since.get_or_insert(now);
-                let refused = error.kind() == io::ErrorKind::ConnectionRefused;
+                let failing = now - *self.failing_since.get_or_insert(now);
+                let open = !self.connections.is_empty();
                 // Danger: a process that died takes its calls with it, and nobody else tells. A refused
                 // connection proves that it is gone; a machine that vanished refuses nothing.
-                if (refused || now - since >= VANISHED) && !self.standing.is_empty() {
+                if is_dead(error.kind(), open, failing, now - self.alive) && !self.standing.is_empty() {
                     self.standing.clear();
+                    self.alive = now;
                     self.news.push(FromHub::Dead);
                 }
             }
         }
     }
 
+    /// The newest connection has set-ups out and has been silent for long.
+    fn owes_answers(&self, now: Instant) -> bool {
+        let silent = |c: &Connection| !c.open.is_empty() && now - c.heard >= SILENT;
+        self.connections.last().is_some_and(silent)
+    }
+
     /// Waits for no message: closes what is spare, opens a connection beside one that went silent.
     fn look(&mut self) {
         let now = Instant::now();
         self.parked.retain(|(since, ..)| now - *since < RELEASE_KEPT);
-        let silent = |c: &Connection| !c.open.is_empty() && now - c.heard >= SILENT;
-        if self.connections.last().is_some_and(silent) {
+        // Danger: a machine that vanished or is cut off says nothing, and its connections stay open.
+        let quiet = !self.standing.is_empty() && now - self.alive >= QUIET;
+        if !self.connections.is_empty() && (quiet || self.owes_answers(now)) {
             self.dial();
         }
         let last = self.connections.len().saturating_sub(1);
@@ -276,6 +295,7 @@
             Ok(0) => true,
             Ok(_) => {
                 connection.heard = Instant::now();
+                self.alive = connection.heard;
                 false
             }
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => broken,
@@ -334,6 +354,19 @@
     }
 }
 
+/// Whether a failed dial shows that the hub's process is dead. A refusal proves it, unless a connection
+/// is open: a hub that drains may have closed its door alone. A dial that got no answer shows it after a
+/// while. Danger: an error of our own, such as having no descriptor left, shows nothing of the hub.
+fn is_dead(error: io::ErrorKind, open: bool, failing: Duration, quiet: Duration) -> bool {
+    use io::ErrorKind::{ConnectionRefused, HostUnreachable, NetworkUnreachable, TimedOut};
+    match error {
+        ConnectionRefused => !open,
+        TimedOut | HostUnreachable | NetworkUnreachable if open => quiet >= QUIET_MOST,
+        TimedOut | HostUnreachable | NetworkUnreachable => failing >= VANISHED,
+        _ => false,
+    }
+}
+
 fn poll_connections(connections: &[Connection], cx: &mut Context<'_>) -> Poll<usize> {
     for (index, connection) in connections.iter().enumerate() {
         let readable = connection.stream.poll_read_ready(cx).is_ready();
@@ -371,7 +404,9 @@
             };
             let cause = message.cause().map_or(Cause::TEMPORARY_FAILURE, Cause);
             news.push(FromHub::Released(call, cause, note, message.report()));
-            connection.queue.push_back(Out::Heard(call));
+            if connection.queue.len() < HEARD_MOST {
+                connection.queue.push_back(Out::Heard(call));
+            }
         }
         kind::STATE | kind::TESTED => {
             let report = message.report();
@@ -471,3 +506,19 @@
 fn release(out: &mut Vec<u8>, call: CallName, cause: Cause) -> bool {
     binary::write(out, kind::RELEASE, call.0, &[(code::CAUSE, &[cause.0])])
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use io::ErrorKind::{ConnectionRefused, Other, TimedOut};
+
+    #[test]
+    fn a_hub_is_dead_only_where_the_dial_shows_it() {
+        let (short, long) = (Duration::from_millis(600), Duration::from_secs(6));
+        assert!(is_dead(ConnectionRefused, false, Duration::ZERO, Duration::ZERO));
+        assert!(!is_dead(ConnectionRefused, true, long, long), "a draining hub's door");
+        assert!(!is_dead(TimedOut, false, short, short) && is_dead(TimedOut, false, long, short));
+        assert!(!is_dead(TimedOut, true, long, short) && is_dead(TimedOut, true, short, long));
+        assert!(!is_dead(Other, false, long, long), "no descriptor left");
+    }
+}
--- a/tests/common/peers.rs
+++ b/tests/common/peers.rs
@@ -47,6 +47,16 @@
 impl Program {
     /// Starts the program and waits till it passes its test.
     pub fn start(targets: &[String], change_log: Option<SocketAddr>, operator: Option<&str>) -> Program {
+        Program::start_with(targets, change_log, operator, 1024)
+    }
+
+    /// The same with so many descriptors.
+    pub fn start_with(
+        targets: &[String],
+        change_log: Option<SocketAddr>,
+        operator: Option<&str>,
+        descriptors: u32,
+    ) -> Program {
         let number = PROGRAMS.fetch_add(1, Ordering::Relaxed);
         let folder = std::env::temp_dir().join(format!("petreldock-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a folder");
@@ -54,7 +64,9 @@
         let log = change_log.map(|a| a.to_string());
         let text = site::document(&address.to_string(), log.as_deref(), targets);
         std::fs::write(folder.join("config.json"), text).expect("written");
-        let mut command = Command::new(env!("CARGO_BIN_EXE_petreldock"));
+        let mut command = Command::new("sh");
+        command.arg("-c").arg(format!("ulimit -n {descriptors}; exec \"$0\""));
+        command.arg(env!("CARGO_BIN_EXE_petreldock"));
         command.env("ROUTER_CONFIG", folder.join("config.json")).stderr(Stdio::null());
         command.env_remove("ROUTER_LISTEN").env_remove("ROUTER_NAME").env_remove("PETRELDOCK_OPERATOR");
         if let Some(text) = operator {
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -6,6 +6,7 @@
 mod site;
 
 use peers::*;
+use petreldock::config::{self, At, Config, Operator};
 use petreldock::net::binary::{code, kind};
 use std::io::{Read, Write};
 use std::process::{Command, Stdio};
@@ -246,3 +247,41 @@
     let expected = "petreldock: iax2.hubs[0].address: expected an address, as in 10.0.0.4:5060\n";
     assert_eq!(run(&good, Some(hub)), expected);
 }
+
+#[test]
+fn running_out_of_descriptors_is_survived() {
+    let record = Record::default();
+    let hub = Hub::start(0, Manner::Answer, &record);
+    // The configuration promises 1,024; the process gets 40 and finds out at accept.
+    let program = Program::start_with(&targets(&[&hub]), None, None, 40);
+    let mut serving = Caller::connect(program.address);
+    serving.invite(0x81, 3000, 0);
+    assert_eq!(status(&mut serving, 0x81), 200);
+    let _idle: Vec<Caller> = (0..60).map(|_| Caller::connect(program.address)).collect();
+    let mut late = Caller::connect(program.address);
+    late.invite(0x82, 15_000, 0);
+    assert_eq!(status(&mut late, 0x82), 200, "idle connections make room");
+    assert!(!serving.said.contains(&Said::Bye(0x81, 41)));
+    let mut any = Caller::connect(program.address);
+    hub.send(kind::RELEASE, 0x81, &[(code::CAUSE, &[16])]);
+    until("the release comes on any connection", || {
+        [&mut serving, &mut late, &mut any]
+            .into_iter()
+            .any(|c| {
+                c.take_in();
+                c.said.contains(&Said::Bye(0x81, 16))
+            })
+            .then_some(())
+    });
+}
+
+#[test]
+fn the_examples_are_accepted() {
+    let read = |path: &str| std::fs::read_to_string(path).expect("there");
+    let value = config::parse(&read("examples/config.json"), "examples").expect("JSON");
+    let read_config = Config::read(&At::root(&value, ""), None).expect("sound");
+    assert_eq!(read_config.known.events[0].targets[0].uid, "toy-1");
+    let value = config::parse(&read("deploy/operator.example.json"), "operator").expect("JSON");
+    let operator = Operator::read(&At::root(&value, ""), &read_config.names).expect("sound");
+    assert!(operator.iax2_listen.is_some() && operator.iax2_hubs.len() == 1);
+}
