--- a/src/bin/petreldock-adapter.rs
+++ b/src/bin/petreldock-adapter.rs
@@ -1,5 +1,7 @@
 //! Hosts instances of the decision module behind the simulator's wire, on standard input and output.
 
+#![forbid(unsafe_code)]
+
 use petreldock::wire::Host;
 use std::io::{BufRead, Write};
 use std::process::ExitCode;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,10 @@
-//! Admission decisions of a gateway that stands before shared call servers.
+//! A session controller that stands before shared table hubs.
+//!
+//! - [`interface`] and [`Controller`]: the decision module, used by both programs.
+//! - [`core`]: owns the module, the call table and the timers, and knows no wire.
+//! - [`net`] and [`iax2`]: the sockets' sides, for the platform's protocol and for IAX2.
+//! - [`config`]: the one place where configuration is read, checked and given defaults.
+//! - [`wire`]: the simulator's wire, for the adapter.
 //!
 //! A [`Controller`] is told what happens and says what to do. It reads no clock, does no I/O
 //! and starts no thread: time comes in with each event.
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,5 +1,7 @@
 //! The session controller: wiring and signals only.
 
+#![forbid(unsafe_code)]
+
 use petreldock::config::{Config, Iax2Hub};
 use petreldock::core::{self, Clock, Core, FrontId, Hub, Input, Status};
 use petreldock::iax2;
