--- a/tests/common/site.rs
+++ b/tests/common/site.rs
@@ -1,5 +1,7 @@
 //! A small site's configuration, for tests of the core and of the started program.
 
+#![allow(dead_code)]
+
 use petreldock::config::{self, At, Config};
 
 /// The settings: one class that wants to stand within 1 s.
@@ -32,7 +34,7 @@
 }
 
 /// The document, read.
-#[allow(dead_code)]
+
 pub fn config(targets: &[String]) -> Config {
     let text = document("127.0.0.1:0", None, targets);
     let value = config::parse(&text, "test").expect("JSON");
