Bound what open set-ups hold in memory, and IAX2 media for a peer that answers nothing

Seen by adding up: 20,000 open set-ups of 16 KiB are 320 MB against a limit of 192; repeated headers and 256 KiB of unread output a connection add to that; unacknowledged IAX2 media was kept 100 frames deep. Lines at fault: core offer() counted calls alone, net/front.rs OUTPUT_MOST. Now: descriptions together take a quarter of memory_mb at most, then set-ups are refused; repeated headers 2 KiB (513); output 64 KiB; media only while 16 frames are out. Tests for each but the output.

--- a/src/config.rs
+++ b/src/config.rs
@@ -17,6 +17,8 @@
 /// Names the operator's file, which sets up the IAX2 front and IAX2 hubs; unset: both are off.
 pub const OPERATOR_VARIABLE: &str = "PETRELDOCK_OPERATOR";
 
+const MEBIBYTE: usize = 1024 * 1024;
+
 /// What is wrong with a configuration, and at which key.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ConfigError {
@@ -234,6 +236,8 @@
     pub release: Micros,
     /// Calls that may be open at once.
     pub max_open: usize,
+    /// Bytes of descriptions that open set-ups may hold together.
+    pub description_bytes: usize,
     /// File descriptors this process may hold.
     pub sockets: usize,
 }
@@ -429,6 +433,7 @@
                 drain_grace: contract.key("drainGrace").or(Micros(2_000_000), At::micros)?,
                 release: settings.release,
                 max_open: limits.key("maxOpen").or(20_000, At::count)?.max(1) as usize,
+                description_bytes: given.key("memory_mb").or(192, At::count)? as usize * MEBIBYTE / 4,
                 sockets: given.key("sockets").or(1024, At::count)?.max(64) as usize,
             },
             settings,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -135,6 +135,8 @@
     wheel: Wheel<Due>,
     calls: BTreeMap<CallId, Call>,
     by_name: HashMap<CallName, CallId>,
+    /// Bytes of the descriptions that the calls hold.
+    description_bytes: usize,
     ended: HashMap<CallName, Micros>,
     ended_by_age: VecDeque<(CallName, Micros)>,
     hubs: Vec<HubState>,
@@ -167,6 +169,7 @@
             wheel: Wheel::new(now),
             calls: BTreeMap::new(),
             by_name: HashMap::new(),
+            description_bytes: 0,
             ended: HashMap::new(),
             ended_by_age: VecDeque::new(),
             hubs: Vec::new(),
@@ -277,7 +280,9 @@
         let Some(class) = class else {
             return self.to_front(offer.front, ToFront::Fail(offer.origin, offer.call));
         };
-        if self.calls.len() >= self.limits.max_open {
+        // Danger: set-ups of 16 KiB each fill the memory long before the table is full.
+        let held = self.description_bytes + offer.description.bytes.len();
+        if self.calls.len() >= self.limits.max_open || held > self.limits.description_bytes {
             return self.to_front(offer.front, ToFront::Refuse(offer.origin, offer.call, Micros(0)));
         }
         self.last_call += 1;
@@ -292,6 +297,7 @@
             returned: offer.returned,
             transit: false,
         };
+        self.description_bytes = held;
         self.by_name.insert(offer.call, id);
         self.wheel.add(offer.deadline, Due::Deadline(id));
         let call = Call {
@@ -406,6 +412,7 @@
                 let Some(call) = self.calls.get_mut(&id) else { return };
                 call.answered = true;
                 call.standing = true;
+                self.description_bytes -= call.description.bytes.len();
                 call.description = Description::default();
                 let Some(out) = &call.out else { return };
                 let (front, origin, server, copy) = (call.front, call.origin, out.server, out.copy);
@@ -489,6 +496,7 @@
     fn drop_if_over(&mut self, now: Micros, id: CallId) {
         if self.calls.get(&id).is_some_and(|c| c.answered && c.out.is_none()) {
             if let Some(call) = self.calls.remove(&id) {
+                self.description_bytes -= call.description.bytes.len();
                 self.by_name.remove(&call.name);
                 self.remember_ended(now, call.name);
             }
--- a/src/iax2/media.rs
+++ b/src/iax2/media.rs
@@ -9,6 +9,9 @@
 /// The form under which media frames pass the core.
 pub const FORM: &str = "iax2-media";
 
+/// Full frames of media go out only while fewer than so many frames are unacknowledged.
+const OUT_MOST: usize = 16;
+
 /// A frame of voice or DTMF with its whole timestamp.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Media {
@@ -85,6 +88,10 @@
         if media.kind == kind::VOICE && self.sent.is_some_and(same) {
             return Some(write_mini(session.local, timestamp as u16, &media.data));
         }
+        // Media of no use by the time it arrives is not kept for a peer that acknowledges nothing.
+        if session.out() >= OUT_MOST {
+            return None;
+        }
         if media.kind == kind::VOICE {
             self.sent = Some((media.subclass, timestamp));
         }
--- a/src/iax2/session.rs
+++ b/src/iax2/session.rs
@@ -75,6 +75,11 @@
         ((now - self.start).0 / 1000) as u32
     }
 
+    /// How many frames are sent and not acknowledged.
+    pub fn out(&self) -> usize {
+        self.unacknowledged.len()
+    }
+
     /// Whether all that was sent is acknowledged.
     pub fn settled(&self) -> bool {
         self.unacknowledged.is_empty()
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -17,7 +17,9 @@
 /// Answers that may wait for one connection.
 const COMMANDS: usize = 4096;
 /// A caller that lets so much pile up does not read: its connection is closed.
-const OUTPUT_MOST: usize = 256 * 1024;
+const OUTPUT_MOST: usize = 64 * 1024;
+/// Headers that an answer repeats, kept while a set-up is open: no longer than this together.
+const REPEATED_MOST: usize = 2048;
 /// Set-ups that may be open on one connection.
 const OPEN_MOST: usize = 4096;
 /// A connection without an open set-up is closed after this.
@@ -330,6 +332,11 @@
                     false => self.respond((503, "Service Unavailable"), &headers, &[], &[]),
                 }
             }
+            ("INVITE", Some(_))
+                if headers.iter().map(|(n, v)| n.len() + v.len()).sum::<usize>() > REPEATED_MOST =>
+            {
+                self.respond((513, "Message Too Large"), &headers, &[], &[]);
+            }
             ("INVITE", Some(call)) => match self.offer(message, uri, call, arrived) {
                 Ok(offer) if self.open.len() < OPEN_MOST => {
                     // A repeat of an open set-up is owed no second answer.
--- a/tests/common/site.rs
+++ b/tests/common/site.rs
@@ -34,7 +34,6 @@
 }
 
 /// The document, read.
-
 pub fn config(targets: &[String]) -> Config {
     let text = document("127.0.0.1:0", None, targets);
     let value = config::parse(&text, "test").expect("JSON");
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -3,6 +3,8 @@
 #[path = "common/site.rs"]
 mod site;
 
+use bytes::Bytes;
+use petreldock::config::Config;
 use petreldock::core::*;
 use petreldock::interface::*;
 use petreldock::net::feed;
@@ -32,11 +34,16 @@
 
 impl Desk {
     fn new() -> Desk {
+        Desk::with(|_| {})
+    }
+
+    fn with(change: impl Fn(&mut Config)) -> Desk {
         let targets = [
             site::target("a", "10.0.0.1:1", 0, "in_service"),
             site::target("b", "10.0.0.2:1", 1, "in_service"),
         ];
-        let config = site::config(&targets);
+        let mut config = site::config(&targets);
+        change(&mut config);
         let (sender, front) = mpsc::channel(100);
         let links: Arc<Mutex<Vec<Opened>>> = Arc::default();
         let opened = links.clone();
@@ -68,6 +75,10 @@
     }
 
     fn offer(&mut self, call: u64, place: i64) {
+        self.offer_with(call, place, &[]);
+    }
+
+    fn offer_with(&mut self, call: u64, place: i64, body: &[u8]) {
         let deadline = Micros(self.now + 3 * SECOND);
         self.tell(Input::Offer(Offer {
             front: FrontId(0),
@@ -79,7 +90,7 @@
             deadline,
             repeat: false,
             returned: false,
-            description: Description::default(),
+            description: Description { form: "test", bytes: Bytes::copy_from_slice(body) },
         }));
     }
 
@@ -299,3 +310,21 @@
     desk.pass(5_000);
     assert_eq!(desk.status.borrow().unanswered, 0);
 }
+
+#[test]
+fn descriptions_are_bounded_together_and_give_their_room_back() {
+    let mut desk = Desk::with(|c| c.limits.description_bytes = 25_000);
+    let body = [b'v'; 10_000];
+    for call in [1, 2, 3] {
+        desk.offer_with(call, 0, &body);
+    }
+    assert!(matches!(desk.said(), Some(ToFront::Refuse(_, CallName(3), _))));
+    desk.stands(0, 1);
+    assert!(matches!(desk.said(), Some(ToFront::Answer(_, CallName(1), _))));
+    desk.offer_with(4, 0, &body);
+    assert!(desk.said().is_none(), "a call that stands needs its description no more");
+    desk.released(0, 2, 17, Note::Engaged);
+    assert!(matches!(desk.said(), Some(ToFront::Fail(..) | ToFront::Refuse(..))));
+    desk.offer_with(5, 0, &body);
+    assert!(desk.said().is_none(), "nor does one that is over");
+}
--- a/tests/iax2.rs
+++ b/tests/iax2.rs
@@ -251,6 +251,34 @@
     assert!(phone.heard().is_empty(), "an answer that comes too late is not passed on");
 }
 
+#[test]
+fn a_peer_that_forgot_the_call_or_answers_nothing_ends_it() {
+    let stand = || {
+        let (mut phone, call) = Phone::dial();
+        phone.front.tell(phone.now, ToFront::Answer(Origin(2), call, Description::default()));
+        (phone, call)
+    };
+    let (mut phone, call) = stand();
+    phone.heard();
+    let inval = Full {
+        source: 7,
+        destination: 2,
+        again: false,
+        timestamp: 9,
+        oseq: 1,
+        iseq: 1,
+        kind: kind::IAX,
+        subclass: iax::INVAL,
+        data: &[],
+    };
+    phone.front.receive(phone.now, peer(4000), &inval.write());
+    assert!(matches!(phone.front.inputs[..], [Input::Hangup(_, c, Cause(41))] if c == call));
+    let (mut phone, call) = stand();
+    (0..2_000).for_each(|n| phone.front.tick(phone.now + Micros(n * 20_000)));
+    assert!(matches!(phone.front.inputs[..], [Input::Hangup(_, c, Cause(41))] if c == call));
+    assert_eq!(phone.front.kept(), 0);
+}
+
 #[test]
 fn what_is_no_call_is_answered_and_starts_nothing() {
     let (mut phone, _) = Phone::dial();
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -196,6 +196,9 @@
     assert_eq!(status(&mut caller, 0x92), 400, "a header without a colon");
     caller.send("INVITE", 0x93, "Call-Kind: odd\r\nAnswer-Within: 900\r\nX-New: 1\r\n", b"");
     assert_eq!(status(&mut caller, 0x93), 500, "an unknown class is failed, an unknown header skipped");
+    let long = format!("Via: SIP/2.0/TCP {}\r\n", "x".repeat(3000));
+    caller.send("INVITE", 0x9a, &long, b"");
+    assert_eq!(status(&mut caller, 0x9a), 513, "headers that an answer would have to repeat");
     caller.send("PUBLISH", 0x94, "", b"");
     caller.wait_for("405", |s| matches!(s, Said::Other(0x94, _, 405)));
     caller.invite(0x95, 3000, 0);
