Answer the INVITE when a BYE ends its set-up, and let its connection go idle

Now the INVITE gets 487, as on CANCEL. Test in tests/program.rs, with a second silent hub, since the module soon sends a silent one little.

--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -357,8 +357,15 @@
             },
             ("BYE", Some(call)) => {
                 let cause = message.header("Reason").and_then(sip::cause).map_or(Cause::NORMAL, Cause);
-                inputs.push(Input::Hangup(id, call, cause));
                 self.respond((200, "OK"), &headers, &[], &[]);
+                // A BYE before the answer ends the set-up, whose INVITE is still owed an answer.
+                match self.open.remove(&call) {
+                    Some(open) => {
+                        self.respond((487, "Request Terminated"), &open.headers, &[], &[]);
+                        inputs.push(Input::Withdrawn(id, origin, call));
+                    }
+                    None => inputs.push(Input::Hangup(id, call, cause)),
+                }
             }
             ("INVITE" | "CANCEL" | "BYE", None) => self.respond((400, "Bad Request"), &headers, &[], &[]),
             _ => {
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -75,7 +75,9 @@
 fn cancelled_while_its_set_up_waits() {
     let record = Record::default();
     let hub = Hub::start(0, Manner::Silent, &record);
-    let program = Program::start(&targets(&[&hub]), None, None);
+    // A silent hub is soon sent little: what comes later has another as its first choice.
+    let other = Hub::start(1, Manner::Silent, &record);
+    let program = Program::start(&targets(&[&hub, &other]), None, None);
     let mut caller = Caller::connect(program.address);
     caller.invite(0xc1, 3000, 0);
     hub.wait_for(0xc1, Seen::SetUp);
@@ -91,11 +93,17 @@
     caller.wait_for("no such set-up", |s| matches!(s, Said::Other(0xc1, _, 481)));
     let finals = caller.said.iter().filter(|s| matches!(s, Said::Answer(0xc1, ..))).count();
     assert_eq!(finals, 1);
+    // So does a BYE before the answer.
+    caller.invite(0xc3, 3000, 1);
+    other.wait_for(0xc3, Seen::SetUp);
+    caller.send("BYE", 0xc3, "", b"");
+    assert_eq!(status(&mut caller, 0xc3), 487);
+    other.wait_for(0xc3, Seen::Release(16));
     // A lost connection withdraws its set-ups too.
-    caller.invite(0xc2, 3000, 0);
-    hub.wait_for(0xc2, Seen::SetUp);
+    caller.invite(0xc2, 3000, 1);
+    other.wait_for(0xc2, Seen::SetUp);
     drop(caller);
-    hub.wait_for(0xc2, Seen::Release(16));
+    other.wait_for(0xc2, Seen::Release(16));
 }
 
 #[test]
