Test that idle connections make room over the bound on callers

Seen: net/front.rs run() held new connections back over its bound, and no test reached that bound. Ruled out: a deadlock on the board's lock there.

--- a/tests/common/peers.rs
+++ b/tests/common/peers.rs
@@ -47,15 +47,15 @@
 impl Program {
     /// Starts the program and waits till it passes its test.
     pub fn start(targets: &[String], change_log: Option<SocketAddr>, operator: Option<&str>) -> Program {
-        Program::start_with(targets, change_log, operator, 1024)
+        Program::start_with(targets, change_log, operator, (1024, 1024))
     }
 
-    /// The same with so many descriptors.
+    /// The same with so many descriptors, and so many promised by the configuration.
     pub fn start_with(
         targets: &[String],
         change_log: Option<SocketAddr>,
         operator: Option<&str>,
-        descriptors: u32,
+        (descriptors, promised): (u32, u32),
     ) -> Program {
         let number = PROGRAMS.fetch_add(1, Ordering::Relaxed);
         let folder = std::env::temp_dir().join(format!("petreldock-{}-{number}", std::process::id()));
@@ -63,6 +63,7 @@
         let address = free_address();
         let log = change_log.map(|a| a.to_string());
         let text = site::document(&address.to_string(), log.as_deref(), targets);
+        let text = text.replace("\"sockets\":1024", &format!("\"sockets\":{promised}"));
         std::fs::write(folder.join("config.json"), text).expect("written");
         let mut command = Command::new("sh");
         command.arg("-c").arg(format!("ulimit -n {descriptors}; exec \"$0\""));
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -267,7 +267,7 @@
     let record = Record::default();
     let hub = Hub::start(0, Manner::Answer, &record);
     // The configuration promises 1,024; the process gets 40 and finds out at accept.
-    let program = Program::start_with(&targets(&[&hub]), None, None, 40);
+    let program = Program::start_with(&targets(&[&hub]), None, None, (40, 1024));
     let mut serving = Caller::connect(program.address);
     serving.invite(0x81, 3000, 0);
     assert_eq!(status(&mut serving, 0x81), 200);
@@ -289,6 +289,23 @@
     });
 }
 
+#[test]
+fn over_the_bound_on_connections_idle_ones_make_room() {
+    let record = Record::default();
+    let hub = Hub::start(0, Manner::AnswerAfter(Duration::from_millis(300)), &record);
+    let program = Program::start_with(&targets(&[&hub]), None, None, (1024, 64));
+    let mut busy = Caller::connect(program.address);
+    busy.invite(0x61, 10_000, 0);
+    hub.wait_for(0x61, Seen::SetUp);
+    let mut idle: Vec<Caller> = (0..50).map(|_| Caller::connect(program.address)).collect();
+    let mut late = Caller::connect(program.address);
+    late.invite(0x62, 10_000, 0);
+    assert_eq!(status(&mut late, 0x62), 200);
+    assert_eq!(status(&mut busy, 0x61), 200, "a connection with an open set-up stays");
+    let closed = idle.iter_mut().filter_map(|c| (!c.take_in()).then_some(())).count();
+    assert!(closed >= 20, "{closed} of 50 idle ones closed, where 32 connections may be open");
+}
+
 #[test]
 fn the_examples_are_accepted() {
     let read = |path: &str| std::fs::read_to_string(path).expect("there");
