--- a/src/config.rs
+++ b/src/config.rs
@@ -419,7 +419,7 @@
             Err(_) => root.key("seed").micros()?.0,
         };
         let micros = |m: Micros| Duration::from_micros(m.0);
-        Ok(Config {
+        let config = Config {
             name: root.key("name").or("petreldock", At::text)?.into(),
             listen,
             seed,
@@ -439,7 +439,11 @@
             settings,
             names,
             operator: Operator::default(),
-        })
+        };
+        // Here, and not when the module starts, so that a reload is refused for the same faults.
+        crate::Controller::new(config.settings.clone(), seed, Micros(0))
+            .map_err(|e| ConfigError { path: "settings".into(), problem: e.to_string() })?;
+        Ok(config)
     }
 }
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,15 +2,16 @@
 
 #![forbid(unsafe_code)]
 
-use petreldock::config::{Config, Iax2Hub};
+use petreldock::config::{Config, ConfigError, Iax2Hub};
 use petreldock::core::{self, Clock, Core, FrontId, Hub, Input, Status};
 use petreldock::iax2;
 use petreldock::interface::{Micros, Phase};
 use petreldock::net::{feed, front, hub};
 use std::io;
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use tokio::net::{TcpSocket, UdpSocket};
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, Duration, Instant};
 
@@ -23,8 +24,12 @@
 /// ... and so long is left for the last answers to be written.
 const FLUSH: Duration = Duration::from_millis(100);
 
+fn configured() -> Result<Config, ConfigError> {
+    Config::from_environment(|name| std::env::var(name).ok())
+}
+
 fn main() -> ExitCode {
-    let config = match Config::from_environment(|name| std::env::var(name).ok()) {
+    let config = match configured() {
         Ok(config) => config,
         Err(error) => {
             eprintln!("petreldock: {error}");
@@ -44,6 +49,8 @@
 async fn run(config: Config) -> io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
+    // Danger: until it is handled, SIGHUP ends the program, and with it all that is open.
+    let hangup = signal(SignalKind::hangup())?;
     let named = |e: io::Error| io::Error::new(e.kind(), format!("listen: {}: {e}", config.listen));
     let socket = if config.listen.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
     socket.set_reuseaddr(true)?;
@@ -86,9 +93,9 @@
     };
     core.fix(clock.now(), operator.iax2_hubs.iter().map(iax2_hub).collect());
     tokio::spawn(core::run(core, queue, clock));
-    if let Some(address) = config.change_log {
-        tokio::spawn(feed::run(address, seq, inputs.clone()));
-    }
+    let (change_log, addresses) = watch::channel(config.change_log);
+    tokio::spawn(feed::run(addresses, seq, inputs.clone()));
+    tokio::spawn(reload(hangup, change_log));
     let sockets = config.limits.sockets;
     let serving = front::run(FrontId(0), listener, sockets, clock, inputs.clone(), to_front, watched.clone());
     eprintln!("petreldock {}: serving at {}", config.name, config.listen);
@@ -102,6 +109,26 @@
     }
 }
 
+/// Takes up the change log's address at each SIGHUP; all else of the configuration is read at the start
+/// alone, as open calls rest on it. A configuration that cannot be used changes nothing.
+async fn reload(mut hangup: Signal, change_log: watch::Sender<Option<SocketAddr>>) {
+    while hangup.recv().await.is_some() {
+        match configured() {
+            Ok(config) => {
+                let moved = change_log.send_if_modified(|held| {
+                    let other = *held != config.change_log;
+                    *held = config.change_log;
+                    other
+                });
+                let address = config.change_log.map_or("nowhere".into(), |a| a.to_string());
+                let what = if moved { "now" } else { "still" };
+                eprintln!("petreldock: reloaded: change log {what} at {address}");
+            }
+            Err(error) => eprintln!("petreldock: not reloaded: {error}"),
+        }
+    }
+}
+
 /// Answers all that is open while callers still come, and ends as soon as nothing is owed.
 async fn wind_down(inputs: mpsc::Sender<Input>, clock: Clock, mut status: watch::Receiver<Status>) {
     eprintln!("petreldock: ending");
--- a/tests/common/peers.rs
+++ b/tests/common/peers.rs
@@ -7,7 +7,7 @@
 use std::collections::HashMap;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -68,7 +68,8 @@
         let mut command = Command::new("sh");
         command.arg("-c").arg(format!("ulimit -n {descriptors}; exec \"$0\""));
         command.arg(env!("CARGO_BIN_EXE_petreldock"));
-        command.env("ROUTER_CONFIG", folder.join("config.json")).stderr(Stdio::null());
+        let log = std::fs::File::create(folder.join("log")).expect("a file");
+        command.env("ROUTER_CONFIG", folder.join("config.json")).stderr(log);
         command.env_remove("ROUTER_LISTEN").env_remove("ROUTER_NAME").env_remove("PETRELDOCK_OPERATOR");
         if let Some(text) = operator {
             std::fs::write(folder.join("operator.json"), text).expect("written");
@@ -83,11 +84,23 @@
         program
     }
 
-    /// Sends SIGTERM, to this process alone.
-    pub fn terminate(&self) {
-        let sent = Command::new("kill").arg("-TERM").arg(self.child.id().to_string()).status();
+    /// Sends a signal, to this process alone.
+    pub fn signal(&self, name: &str) {
+        let sent = Command::new("kill").arg(name).arg(self.child.id().to_string()).status();
         assert!(sent.is_ok_and(|s| s.success()));
     }
+
+    /// Changes its configuration file and sends SIGHUP; waits till the log says the given.
+    pub fn reload(&self, change: impl Fn(String) -> String, logged: &str) {
+        let file = self.folder.join("config.json");
+        let text = std::fs::read_to_string(&file).expect("read");
+        std::fs::write(file, change(text)).expect("written");
+        self.signal("-HUP");
+        until(logged, || {
+            let log = std::fs::read_to_string(self.folder.join("log")).expect("read");
+            log.contains(logged).then_some(())
+        });
+    }
 }
 
 impl Drop for Program {
--- /dev/null
+++ b/tests/feed.rs
@@ -0,0 +1,60 @@
+//! The change log's poller over loopback: stops, answers cut off, and where it resumes.
+
+#[path = "common/site.rs"]
+mod site;
+
+use petreldock::core::Input;
+use petreldock::net::feed;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, watch};
+use tokio::time::{timeout, Instant};
+
+const PATIENCE: Duration = Duration::from_secs(20);
+/// The hold asked for and the slack are 1.75 s; what went before was found out after 7 s.
+const SOON: Duration = Duration::from_secs(5);
+
+/// Takes the next poll: its connection, and after which event it asks.
+async fn poll(listener: &TcpListener) -> (TcpStream, u64) {
+    let (mut stream, _) = timeout(PATIENCE, listener.accept()).await.expect("asked").expect("accepted");
+    let (mut text, mut bytes) = (String::new(), [0; 512]);
+    while !text.ends_with("\r\n\r\n") {
+        let count = timeout(PATIENCE, stream.read(&mut bytes)).await.expect("in time").expect("open");
+        text.push_str(std::str::from_utf8(&bytes[..count]).expect("text"));
+    }
+    let since = text.split("since=").nth(1).and_then(|t| t.split('&').next()).expect("since");
+    (stream, since.parse().expect("a number"))
+}
+
+#[tokio::test]
+async fn stops_and_cuts_are_asked_anew_from_the_last_event_on() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let (_address, addresses) = watch::channel(listener.local_addr().ok());
+    let (inputs, mut news) = mpsc::channel(16);
+    tokio::spawn(feed::run(addresses, 1, inputs));
+    let event = site::event(2, false, &[site::target("b", "10.0.0.2:1", 1, "in_service")]);
+    let body = format!(r#"{{"seq":2,"results":[{event}]}}"#);
+    let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    let start = Instant::now();
+    // One never answers, one stops in the middle of the event: both stay open.
+    let (_silent, since) = poll(&listener).await;
+    assert_eq!(since, 1);
+    let (mut stopped, since) = poll(&listener).await;
+    assert_eq!(since, 1);
+    stopped.write_all(&answer.as_bytes()[..answer.len() - 30]).await.expect("written");
+    // One breaks off there.
+    let (mut cut, since) = poll(&listener).await;
+    assert_eq!(since, 1, "half an event is none");
+    assert!(start.elapsed() < SOON, "{:?}", start.elapsed());
+    cut.write_all(&answer.as_bytes()[..answer.len() - 30]).await.expect("written");
+    drop(cut);
+    let (mut whole, since) = poll(&listener).await;
+    assert_eq!(since, 1);
+    assert!(news.try_recv().is_err());
+    whole.write_all(answer.as_bytes()).await.expect("written");
+    let input = timeout(PATIENCE, news.recv()).await.expect("in time");
+    assert!(matches!(input, Some(Input::List(false, hubs)) if hubs.len() == 1));
+    drop(whole);
+    assert_eq!(poll(&listener).await.1, 2);
+}
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -175,6 +175,42 @@
     assert!(polls.windows(2).all(|w| w[0] <= w[1]) && polls[0] == 1, "without gaps: {polls:?}");
 }
 
+#[test]
+fn sighup_moves_the_poller_and_disturbs_no_call() {
+    let record = Record::default();
+    let hub = Hub::start(0, Manner::AnswerAfter(Duration::from_millis(300)), &record);
+    // The first log has told event 2 and then goes silent, with its connection open.
+    let (old, new) = (ChangeLog::start(1000), ChangeLog::start(1000));
+    let mut program = Program::start(&targets(&[&hub]), Some(old.address), None);
+    let moved = [Hub::start(2, Manner::Answer, &record), Hub::start(1, Manner::Answer, &record)];
+    let added = |i: usize| [targets(&[&moved[i]]).remove(0)];
+    for log in [&old, &new] {
+        log.tell(&added(0));
+    }
+    until("the poller has event 2", || old.polls.lock().expect("lock").contains(&2).then_some(()));
+    let mut caller = Caller::connect(program.address);
+    caller.invite(0x51, 3000, 0);
+    hub.wait_for(0x51, Seen::SetUp);
+    let address = |log: &ChangeLog| format!("{:?}", log.address.to_string());
+    let (from, to) = (address(&old), address(&new));
+    let (sound, nought) = ("\"balancers\":1", "\"balancers\":0");
+    let wrong = "not reloaded: settings: balancers must be at least 1";
+    program.reload(|text| text.replace(sound, nought).replace(&from, &to), wrong);
+    let wrong = "not reloaded: changelog: expected an address, as in 10.0.0.4:5060";
+    program.reload(|text| text.replace(nought, sound).replace(&to, "\"there\""), wrong);
+    assert!(new.polls.lock().expect("lock").is_empty(), "a faulty file changes nothing");
+    let logged = format!("reloaded: change log now at {}", new.address);
+    program.reload(|text| text.replace("\"there\"", &to), &logged);
+    new.tell(&added(1));
+    until("the new log is asked", || new.polls.lock().expect("lock").contains(&3).then_some(()));
+    assert_eq!(new.polls.lock().expect("lock")[0], 2, "from the last event on");
+    assert_eq!(status(&mut caller, 0x51), 200, "what was open stays open");
+    caller.invite(0x52, 3000, 1);
+    assert_eq!(status(&mut caller, 0x52), 200);
+    assert!(moved[1].seen(0x52).contains(&Seen::Answered), "what the new log tells counts");
+    assert!(program.child.try_wait().expect("waited").is_none());
+}
+
 #[test]
 fn sigterm_answers_all_and_ends() {
     let record = Record::default();
@@ -183,7 +219,7 @@
     let mut caller = Caller::connect(program.address);
     caller.invite(0x71, 3000, 0);
     hub.wait_for(0x71, Seen::SetUp);
-    program.terminate();
+    program.signal("-TERM");
     let end = Instant::now();
     let mut late = until("still accepting", || Caller::try_connect(program.address));
     late.invite(0x72, 3000, 0);
