Close hub connections whose answers stopped; a reset no longer shuts a hub

After a spoilt answer a connection stays open and brings nothing; the link sent all set-ups on its newest connection and looked only after 2.5 s (SILENT). Releases of calls that stood there came only once another connection was dialled. Ruled out: the front (each release that came was passed on at once) and memory. Lines at fault: net/hub.rs command() (last_mut), owes_answers(), read(), take(); logic.rs attempt_ended(): a Broken set-up marked the hub as dead for 0.7 s and more; core/mod.rs stands(): an unknown id was released at the hub. Done: two connections a hub, set-ups go to the one that owes least; one with half a message for 300 ms, or an answer overtaken by 120 ms, or a set-up called off unheard and overtaken, is closed and another dialled at once (not faster than every 100 ms where new ones are reset). A reset makes the next call a lone trial. Conclusion: the belief 'open means it answers' was the fault.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -427,7 +427,11 @@
             }
             // Danger: an answer that crosses the give-up. The hub holds a call that nobody has; it is
             // released there and never passed on. A give-up still to be written releases it as well.
-            _ => self.to_hub(link, ToHub::Release(name, Cause::NORMAL)),
+            _ if id.is_some() || self.ended.contains_key(&name) => {
+                self.to_hub(link, ToHub::Release(name, Cause::NORMAL));
+            }
+            // An id that nobody knows comes ahead of what a hub has to say, and means nothing.
+            _ => {}
         }
     }
 
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -596,7 +596,10 @@
             Outcome::Success | Outcome::Failure | Outcome::Overloaded => s.answered(self.now),
             // Danger: a processor that stands still refuses all, at a cost, and looks unpressed.
             Outcome::Unreachable | Outcome::ProcessorFull => s.trial_at = trial,
-            Outcome::TimedOut | Outcome::Broken if unanswered => s.trial_at = trial,
+            Outcome::TimedOut if unanswered => s.trial_at = trial,
+            // Danger: one connection's reset is no proof of a dead server. The next call goes there at
+            // once, alone; only its answer, or its want, tells more.
+            Outcome::Broken if unanswered => s.trial_at = s.trial_at.or(Some(self.now)),
             _ => {}
         }
         self.report(end.server, &end.report);
--- a/src/net/hub.rs
+++ b/src/net/hub.rs
@@ -22,8 +22,21 @@
 
 /// Commands that may wait for a link; each call has a few at most.
 pub const COMMANDS: usize = 65_536;
-/// Connections to one hub.
+/// Connections to one hub at most,
 const CONNECTIONS: usize = 4;
+/// ... and as many as are kept up: what one of them loses, the other shows.
+const WANTED: usize = 2;
+/// A message that began comes whole within this.
+const WHOLE: Duration = Duration::from_millis(300);
+/// A set-up whose answer is missing though one begun this much later was answered has lost it: a hub
+/// takes set-ups in their order, and jitter is far smaller.
+const OVERTAKEN: Duration = Duration::from_millis(120);
+/// A set-up given up after this, with nothing heard since it began, makes its connection suspect. Danger: the
+/// module calls off what it sees overtaken, and the connection would look as if it owed nothing.
+const SUSPECT: Duration = Duration::from_millis(100);
+/// New connections that end unheard: the first two are dialled again at once, then this passes.
+const RESET_PAUSE: Duration = Duration::from_millis(100);
+const RESETS: u32 = 2;
 /// This much is written at once; the rest can still be taken back.
 const BATCH: usize = 16 * 1024;
 /// A failed dial is followed by the next after this, then twice that, and so on,
@@ -43,7 +56,7 @@
 /// A spare connection with nothing on it is closed after this.
 const SPARE_IDLE: Duration = Duration::from_secs(20);
 /// How often the link looks after its connections.
-const LOOK: Duration = Duration::from_millis(250);
+const LOOK: Duration = Duration::from_millis(100);
 /// A release that no connection could take is of no use after this.
 const RELEASE_KEPT: Duration = Duration::from_secs(10);
 
@@ -55,6 +68,13 @@
     Heard(CallName),
 }
 
+/// A set-up on a connection, from its first byte on.
+#[derive(Clone, Copy)]
+struct Begun {
+    attempt: u64,
+    at: Instant,
+}
+
 struct Connection {
     id: u64,
     stream: TcpStream,
@@ -65,8 +85,13 @@
     begun: usize,
     queue: VecDeque<Out>,
     /// Set-ups begun here and not answered.
-    open: HashMap<CallName, u64>,
+    open: HashMap<CallName, Begun>,
+    opened: Instant,
     heard: Instant,
+    /// Since when the message that is being read is not whole.
+    partial: Option<Instant>,
+    /// When a set-up began that was given up late, with nothing heard here since.
+    unheard: Option<Instant>,
 }
 
 /// The link's state.
@@ -90,6 +115,10 @@
     backoff: Duration,
     failing_since: Option<Instant>,
     dialled: u64,
+    /// New connections in a row that ended before anything was heard.
+    resets: u32,
+    /// When the latest set-up began that has been answered, on whichever connection.
+    answered_begun: Option<Instant>,
     news: Vec<FromHub>,
 }
 
@@ -118,6 +147,8 @@
         backoff: BACKOFF,
         failing_since: None,
         dialled: 0,
+        resets: 0,
+        answered_begun: None,
         news: Vec::new(),
     };
     tokio::spawn(link.run(commands, core));
@@ -155,11 +186,12 @@
 
     fn command(&mut self, command: ToHub) {
         match command {
-            ToHub::SetUp(set_up) => match self.connections.last_mut() {
+            // The one that owes least: a connection that answers no more collects no further set-ups.
+            ToHub::SetUp(set_up) => match self.connections.iter_mut().min_by_key(|c| c.load()) {
                 Some(connection) => connection.queue.push_back(Out::SetUp(set_up)),
                 None => {
                     self.waiting.push_back(set_up);
-                    self.dial();
+                    self.redial();
                 }
             },
             ToHub::GiveUp(call, attempt) => self.give_up(call, attempt),
@@ -194,7 +226,7 @@
                 connection.queue.remove(at);
                 return self.news.push(began(false));
             }
-            if connection.open.get(&call) == Some(&attempt) {
+            if connection.open.get(&call).is_some_and(|b| b.attempt == attempt) {
                 return connection.queue.push_back(Out::GiveUp(call, attempt));
             }
         }
@@ -219,6 +251,14 @@
         }
     }
 
+    /// Dials at once, unless the hub takes connections only to reset them.
+    fn redial(&mut self) {
+        match self.resets < RESETS {
+            true => self.dial(),
+            false => self.next_dial = self.next_dial.or(Some(Instant::now() + RESET_PAUSE)),
+        }
+    }
+
     fn dialled(&mut self, dialled: io::Result<TcpStream>) {
         let now = Instant::now();
         match dialled {
@@ -227,7 +267,7 @@
                 self.backoff = BACKOFF;
                 self.failing_since = None;
                 self.next_dial = None;
-                if !self.connections.is_empty() && !self.owes_answers(now) {
+                if self.connections.len() >= WANTED && !self.owes_answers(now) {
                     // It was dialled to see whether it is there; it is.
                     return;
                 }
@@ -244,7 +284,10 @@
                     begun: 0,
                     queue,
                     open: HashMap::new(),
+                    opened: now,
                     heard: now,
+                    partial: None,
+                    unheard: None,
                 });
             }
             Err(error) => {
@@ -265,25 +308,39 @@
         }
     }
 
-    /// The newest connection has set-ups out and has been silent for long.
+    /// Set-ups are out, and all connections that have any have been silent for long.
     fn owes_answers(&self, now: Instant) -> bool {
-        let silent = |c: &Connection| !c.open.is_empty() && now - c.heard >= SILENT;
-        self.connections.last().is_some_and(silent)
+        let mut owing = self.connections.iter().filter(|c| !c.open.is_empty()).peekable();
+        owing.peek().is_some() && owing.all(|c| now - c.heard >= SILENT)
+    }
+
+    /// Danger: an answer that was spoilt, stopped short or never came leaves a connection that stays open
+    /// and brings nothing more, not for its other set-ups nor for its calls that stand. It is closed, so
+    /// that they are settled, and the hub says on the next one what it had to say.
+    fn close_spoilt(&mut self) {
+        let now = Instant::now();
+        while let Some(index) = self.connections.iter().position(|c| c.spoilt(now, self.answered_begun)) {
+            self.lost(index);
+        }
     }
 
     /// Waits for no message: closes what is spare, opens a connection beside one that went silent.
     fn look(&mut self) {
+        self.close_spoilt();
         let now = Instant::now();
+        if self.connections.len() < WANTED && self.next_dial.is_none() {
+            self.redial();
+        }
         self.parked.retain(|(since, ..)| now - *since < RELEASE_KEPT);
         // Danger: a machine that vanished or is cut off says nothing, and its connections stay open.
         let quiet = !self.standing.is_empty() && now - self.alive >= QUIET;
         if !self.connections.is_empty() && (quiet || self.owes_answers(now)) {
             self.dial();
         }
-        let last = self.connections.len().saturating_sub(1);
+        let spare_most = self.connections.len().saturating_sub(WANTED);
         let spare = |c: &Connection| c.open.is_empty() && c.queue.is_empty() && c.output.is_empty();
         let idle = |c: &Connection| spare(c) && now - c.heard >= SPARE_IDLE;
-        if let Some(index) = self.connections[..last].iter().position(idle) {
+        if let Some(index) = self.connections.iter().position(idle).filter(|_| spare_most > 0) {
             self.connections.remove(index);
         }
     }
@@ -296,18 +353,22 @@
             Ok(_) => {
                 connection.heard = Instant::now();
                 self.alive = connection.heard;
+                self.resets = 0;
                 false
             }
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => broken,
             Err(_) => true,
         };
-        let mut garbled = false;
+        let (mut garbled, mut whole) = (false, false);
         let mut input = std::mem::take(&mut connection.input);
         loop {
             match binary::parse(input.held()) {
                 Ok(Some(message)) => {
                     let bytes = message.bytes;
-                    take(&message, connection, &mut self.standing, &mut self.news);
+                    let begun = take(&message, connection, &mut self.standing, &mut self.news);
+                    self.answered_begun = self.answered_begun.max(begun);
+                    connection.unheard = None;
+                    whole = true;
                     input.consume(bytes);
                 }
                 Ok(None) => break,
@@ -317,20 +378,25 @@
                 }
             }
         }
+        let since = connection.partial.filter(|_| !whole).unwrap_or(connection.heard);
+        connection.partial = (!input.held().is_empty()).then_some(since);
         connection.input = input;
         if end || garbled || broken {
             self.lost(index);
         }
+        self.close_spoilt();
     }
 
     /// A connection is gone: its set-ups alone are broken, and what had not begun goes on elsewhere.
     fn lost(&mut self, index: usize) {
         let connection = self.connections.remove(index);
         let mut open: Vec<_> = connection.open.into_iter().collect();
-        open.sort();
-        let set_ups: Vec<u64> = open.iter().map(|(_, attempt)| *attempt).collect();
-        self.news.extend(open.into_iter().map(|(call, attempt)| FromHub::Broken(call, attempt)));
-        self.dial();
+        open.sort_by_key(|(_, begun)| begun.at);
+        let set_ups: Vec<u64> = open.iter().map(|(_, begun)| begun.attempt).collect();
+        self.news.extend(open.into_iter().map(|(call, begun)| FromHub::Broken(call, begun.attempt)));
+        // Danger: a hub that resets what it accepted would be dialled as fast as it can.
+        self.resets += u32::from(connection.heard == connection.opened);
+        self.redial();
         for out in connection.staged.into_iter().map(|(_, out)| out).chain(connection.queue) {
             match out {
                 Out::SetUp(set_up) if set_ups.contains(&set_up.attempt) => {}
@@ -378,23 +444,31 @@
     Poll::Pending
 }
 
-/// What one message of a hub means.
+/// What one message of a hub means; gives back when the set-up began that it answers.
 fn take(
     message: &Message,
     connection: &mut Connection,
     standing: &mut HashMap<CallName, u64>,
     news: &mut Vec<FromHub>,
-) {
+) -> Option<Instant> {
     let call = CallName(message.call);
     match message.kind {
         kind::ANSWER => {
-            connection.open.remove(&call);
-            standing.insert(call, connection.id);
+            let begun = connection.open.remove(&call);
+            // A second copy. One that is not open here crosses its give-up, or has an id that nobody
+            // knows: the core can tell.
+            if begun.is_none() && standing.contains_key(&call) {
+                return None;
+            }
+            if begun.is_some() {
+                standing.insert(call, connection.id);
+            }
             let bytes = Bytes::copy_from_slice(message.parameter(code::DESCRIPTION).unwrap_or_default());
             news.push(FromHub::Stands(call, Description { form: SDP, bytes }));
+            begun.map(|b| b.at)
         }
         kind::RELEASE => {
-            connection.open.remove(&call);
+            let begun = connection.open.remove(&call);
             standing.remove(&call);
             let note = match message.text(code::NOTE) {
                 Some("congestion") => Note::Congestion,
@@ -407,18 +481,32 @@
             if connection.queue.len() < HEARD_MOST {
                 connection.queue.push_back(Out::Heard(call));
             }
+            begun.map(|b| b.at)
         }
         kind::STATE | kind::TESTED => {
             let report = message.report();
             if report != Report::default() {
                 news.push(FromHub::State(report));
             }
+            None
         }
-        _ => {}
+        _ => None,
     }
 }
 
 impl Connection {
+    /// How much it owes; one that is suspect comes last.
+    fn load(&self) -> (bool, usize) {
+        (self.unheard.is_some(), self.open.len() + self.queue.len())
+    }
+
+    /// Whether its answers come no more, though it stays open.
+    fn spoilt(&self, now: Instant, answered_begun: Option<Instant>) -> bool {
+        let oldest = self.open.values().map(|b| b.at).chain(self.unheard).min();
+        let overtaken = oldest.is_some_and(|at| answered_begun >= Some(at + OVERTAKEN));
+        overtaken || self.partial.is_some_and(|since| now - since >= WHOLE)
+    }
+
     /// Writes what the socket takes. A set-up whose first byte has not gone out goes back to the queue,
     /// where it can be taken back; its deadline and the hub's drain are looked at again then.
     fn write(&mut self, now: Micros, not_after: Option<Micros>, news: &mut Vec<FromHub>) -> io::Result<()> {
@@ -479,7 +567,8 @@
         while let Some((length, out)) = self.staged.front() {
             if let Out::SetUp(s) = out {
                 if self.begun > 0 {
-                    self.open.insert(s.call, s.attempt);
+                    let begun = Begun { attempt: s.attempt, at: Instant::now() };
+                    self.open.entry(s.call).or_insert(begun);
                 }
             }
             if self.begun < *length {
@@ -487,7 +576,9 @@
             }
             self.begun -= length;
             if let Some((_, Out::GiveUp(call, attempt))) = self.staged.pop_front() {
-                self.open.remove(&call);
+                let begun = self.open.remove(&call).map(|b| b.at);
+                let late = |at: &Instant| at.elapsed() >= SUSPECT && self.heard < *at;
+                self.unheard = self.unheard.or(begun.filter(late));
                 news.push(FromHub::GivenUp { attempt, call, began: true });
             }
         }
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -251,6 +251,13 @@
     assert!(desk.said().is_none(), "the closed link is heard no more");
 }
 
+#[test]
+fn an_answer_under_an_id_that_nobody_knows_means_nothing() {
+    let mut desk = Desk::new();
+    desk.stands(0, 78);
+    assert!(desk.command(0).is_none() && desk.said().is_none());
+}
+
 #[test]
 fn a_release_of_an_unknown_call_is_passed_on_once() {
     let mut desk = Desk::new();
