Close silent and halting callers after 2 s; refuse a set-up under a taken id

Silent ones and halves waited for IDLE, 30 s; a second set-up under an open id got no answer, and its headers replaced the first's. Ruled out: the core (bad requests that were read were all answered) and memory. Found by reading: a BYE from any connection ended a set-up of another without an answer (core hangup()); shed() asked the eight oldest connections, idle or not, so that busy ones could keep new callers waiting. Lines at fault: front.rs run() and take_in() (idle_at), message() (open.insert), Board::shed(); core/mod.rs offer() and hangup(). Done: a whole request within 2 s of the start, halves ended after 2 s with what is open failed, 5 s idle (30 s where answered calls stand), taken ids refused where they came, idle connections closed one for one from 3/4 of the bound on.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -271,9 +271,10 @@
 
     fn offer(&mut self, now: Micros, offer: Offer) {
         if let Some(known) = self.by_name.get(&offer.call).and_then(|id| self.calls.get(id)) {
-            // A repeat on the wire of a set-up that is open: its answer is owed once. One that is over
-            // for its caller, and is still being given up at a hub, must not get a second attempt.
-            if known.answered && !known.standing {
+            // A repeat of a set-up that is open: its answer is owed once. Danger: one from elsewhere, or
+            // of a call that stands or is still being given up at a hub, must not get a second attempt,
+            // nor leave whoever sent it without a word.
+            if known.answered || known.origin != offer.origin {
                 self.to_front(offer.front, ToFront::Refuse(offer.origin, offer.call, Micros(0)));
             }
             return;
@@ -346,9 +347,8 @@
         if let Some(link) = standing.and_then(|c| c.out.as_ref()).map(|o| o.link) {
             self.to_hub(link, ToHub::Release(name, cause));
             self.end_attempt(now, id, Outcome::Withdrawn, false, Report::default());
-        } else {
-            self.withdrawn(now, front, name);
         }
+        // Danger: any connection may end what stands, but a set-up is ended by its own connection alone.
     }
 
     // ---- hubs ----
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -22,8 +22,15 @@
 const REPEATED_MOST: usize = 2048;
 /// Set-ups that may be open on one connection.
 const OPEN_MOST: usize = 4096;
-/// A connection without an open set-up is closed after this.
-const IDLE: Duration = Duration::from_secs(30);
+/// A connection without an open set-up is closed after this if no call that was answered there stands:
+/// callers close theirs after 4 s,
+const IDLE: Duration = Duration::from_secs(5);
+/// ... else after this: its releases would have to go elsewhere.
+const IDLE_WITH_CALLS: Duration = Duration::from_secs(30);
+/// A message comes whole within this, the first one counted from the connection's start.
+const WHOLE: Duration = Duration::from_secs(2);
+/// So many idle connections make room at a time.
+const SHED: usize = 8;
 /// How long to wait before accepting again when descriptors have run out.
 const SHORT: Duration = Duration::from_millis(20);
 /// Releases that may wait for a connection, and how long they do.
@@ -45,6 +52,10 @@
 struct Known {
     sender: mpsc::Sender<ToConnection>,
     used: Instant,
+    /// Set-ups are open on it.
+    busy: bool,
+    /// Calls that were answered on it stand.
+    carries: bool,
 }
 
 /// Who is connected, and what waits for a connection.
@@ -86,11 +97,12 @@
         None
     }
 
-    /// The connection that was used longest ago is asked to end if nothing is open on it.
-    fn shed(&self) {
-        let mut by_use: Vec<&Known> = self.connections.values().collect();
-        by_use.sort_by_key(|k| k.used);
-        for known in by_use.iter().take(8) {
+    /// Asks `count` connections to end on which nothing is open: first those without a call that stands,
+    /// and of these the ones used longest ago.
+    fn shed(&self, count: usize) {
+        let mut idle: Vec<&Known> = self.connections.values().filter(|k| !k.busy).collect();
+        idle.sort_by_key(|k| (k.carries, k.used));
+        for known in idle.iter().take(count) {
             let _ = known.sender.try_send(ToConnection::CloseIdle);
         }
     }
@@ -141,11 +153,16 @@
     loop {
         // Danger: a connection that is accepted and dropped loses the request that is on it. Over the
         // bound, new ones wait in the listener's queue until idle ones have made room.
-        if front.board().connections.len() >= front.connections_most {
-            front.board().shed();
+        let count = front.board().connections.len();
+        if count >= front.connections_most {
+            front.board().shed(SHED);
             tokio::time::sleep(SHORT).await;
             continue;
         }
+        // Before it comes to that, room is made one for one: nobody has to wait.
+        if count >= front.connections_most / 4 * 3 {
+            front.board().shed(1);
+        }
         match listener.accept().await {
             Ok((stream, _)) => {
                 let _ = stream.set_nodelay(true);
@@ -154,7 +171,8 @@
                     let mut board = front.board();
                     board.last += 1;
                     let number = board.last;
-                    board.connections.insert(number, Known { sender, used: Instant::now() });
+                    let known = Known { sender, used: Instant::now(), busy: false, carries: false };
+                    board.connections.insert(number, known);
                     for (_, call, cause) in std::mem::take(&mut board.parked) {
                         board.route(ToFront::Release(Some(Origin(number)), call, cause));
                     }
@@ -165,7 +183,7 @@
             // Danger: with no descriptor left, accept fails at once and would take the whole core.
             Err(error) => {
                 eprintln!("front: cannot accept: {error}");
-                front.board().shed();
+                front.board().shed(SHED);
                 tokio::time::sleep(SHORT).await;
             }
         }
@@ -185,6 +203,13 @@
     open: HashMap<CallName, Open>,
     /// Releases written or to be written, with when, till their 200 comes.
     unheard: VecDeque<(Instant, CallName, Cause)>,
+    /// Calls answered here that stand, as far as is seen here: their BYE may come on another connection.
+    carried: usize,
+    /// A request came that is owed an answer.
+    spoke: bool,
+    /// Since when a message is awaited that is not whole; at first since the connection's start.
+    half_since: Option<Instant>,
+    used: Instant,
     /// No more is read; the connection ends once all is written.
     ending: bool,
 }
@@ -202,6 +227,10 @@
         output: Vec::new(),
         open: HashMap::new(),
         unheard: VecDeque::new(),
+        carried: 0,
+        spoke: false,
+        half_since: Some(Instant::now()),
+        used: Instant::now(),
         ending: false,
     };
     connection.run(&stream, &mut commands).await;
@@ -232,8 +261,13 @@
 
 impl Connection {
     async fn run(&mut self, stream: &TcpStream, commands: &mut mpsc::Receiver<ToConnection>) {
-        let mut idle_at = Instant::now() + IDLE;
         loop {
+            let (busy, carries) = (!self.open.is_empty(), self.carried > 0);
+            if let Some(known) = self.front.board().connections.get_mut(&self.number) {
+                (known.used, known.busy, known.carries) = (self.used, busy, carries);
+            }
+            let idle_at = self.used + if carries { IDLE_WITH_CALLS } else { IDLE };
+            let whole_by = self.half_since.map(|since| since + WHOLE);
             match stream.try_write(&self.output) {
                 Ok(count) => {
                     self.output.drain(..count);
@@ -255,10 +289,7 @@
                         Err(error) if error.kind() == io::ErrorKind::WouldBlock => continue,
                         Err(_) => return,
                     }
-                    idle_at = Instant::now() + IDLE;
-                    if let Some(known) = self.front.board().connections.get_mut(&self.number) {
-                        known.used = Instant::now();
-                    }
+                    self.used = Instant::now();
                     self.take_in(self.front.clock.now()).await;
                 }
                 writable = stream.writable(), if !self.output.is_empty() => {
@@ -272,24 +303,41 @@
                     Some(ToConnection::CloseIdle) => {}
                     None => return,
                 },
-                _ = tokio::time::sleep_until(idle_at) => {
-                    if self.open.is_empty() {
-                        return;
-                    }
-                    idle_at = Instant::now() + IDLE;
+                _ = tokio::time::sleep_until(idle_at), if !busy => return,
+                // Danger: a caller that stays silent, or half-way through a message, holds a descriptor
+                // for ever and is owed a word. What it has open is failed, so that nobody waits for it.
+                _ = tokio::time::sleep_until(whole_by.unwrap_or(idle_at)), if whole_by.is_some() && !self.ending => {
+                    self.fail_open().await;
                 }
+                // It does not read its last words either.
+                _ = tokio::time::sleep_until(self.used + WHOLE), if self.ending => return,
             }
         }
     }
 
+    /// Fails the set-ups that are open here, and ends once that is written.
+    async fn fail_open(&mut self) {
+        let mut open: Vec<(CallName, Open)> = self.open.drain().collect();
+        open.sort_by_key(|(call, _)| *call);
+        for (call, open) in open {
+            self.respond((500, "Server Internal Error"), &open.headers, &[], &[]);
+            let withdrawn = Input::Withdrawn(self.front.id, Origin(self.number), call);
+            let _ = self.front.core.send(withdrawn).await;
+        }
+        self.ending = true;
+        self.used = Instant::now();
+    }
+
     /// Reads the messages that are there. `arrived`: when their last bytes came.
     async fn take_in(&mut self, arrived: Micros) {
         let mut input = std::mem::take(&mut self.input);
-        let mut inputs = Vec::new();
+        let (mut inputs, mut whole) = (Vec::new(), false);
         while !self.ending {
             input.consume(sip::empty_lines(input.held()));
             let bytes = match sip::parse(input.held()) {
                 Ok(Some(message)) => {
+                    whole = true;
+                    self.spoke |= matches!(message.start, Start::Request(method, _) if method != "ACK");
                     self.message(&message, arrived, &mut inputs);
                     message.bytes
                 }
@@ -307,6 +355,8 @@
             input.consume(bytes);
         }
         debug_assert!(self.ending || input.held().len() <= MESSAGE_MOST);
+        let since = self.half_since.filter(|_| !whole || !self.spoke).unwrap_or(self.used);
+        self.half_since = (!input.held().is_empty() || !self.spoke).then_some(since);
         self.input = input;
         for input in inputs {
             let _ = self.front.core.send(input).await;
@@ -338,11 +388,11 @@
                 self.respond((513, "Message Too Large"), &headers, &[], &[]);
             }
             ("INVITE", Some(call)) => match self.offer(message, uri, call, arrived) {
-                Ok(offer) if self.open.len() < OPEN_MOST => {
-                    // A repeat of an open set-up is owed no second answer.
-                    if self.open.insert(call, Open { headers }).is_none() {
-                        inputs.push(Input::Offer(offer));
-                    }
+                // Danger: a second set-up under the id of an open one is refused; the open one's headers,
+                // which its answer repeats, stay.
+                Ok(offer) if self.open.len() < OPEN_MOST && !self.open.contains_key(&call) => {
+                    self.open.insert(call, Open { headers });
+                    inputs.push(Input::Offer(offer));
                 }
                 Ok(_) => self.respond((503, "Service Unavailable"), &headers, &[], &[]),
                 Err(()) => self.respond((400, "Bad Request"), &headers, &[], &[]),
@@ -364,7 +414,10 @@
                         self.respond((487, "Request Terminated"), &open.headers, &[], &[]);
                         inputs.push(Input::Withdrawn(id, origin, call));
                     }
-                    None => inputs.push(Input::Hangup(id, call, cause)),
+                    None => {
+                        self.carried = self.carried.saturating_sub(1);
+                        inputs.push(Input::Hangup(id, call, cause));
+                    }
                 }
             }
             ("INVITE" | "CANCEL" | "BYE", None) => self.respond((400, "Bad Request"), &headers, &[], &[]),
@@ -398,9 +451,11 @@
     }
 
     async fn tell(&mut self, message: ToFront) {
+        self.used = Instant::now();
         match message {
             ToFront::Answer(_, call, description) => match self.open.remove(&call) {
                 Some(open) => {
+                    self.carried += 1;
                     let contact = format!("<sip:petreldock@{}>", self.front.listen);
                     let more = [("Contact", &*contact), ("Content-Type", SDP)];
                     // A hub of another protocol describes nothing that a SIP caller could use.
@@ -428,7 +483,8 @@
                     self.respond((500, "Server Internal Error"), &open.headers, &[], &[]);
                 }
             }
-            ToFront::Release(_, call, cause) => {
+            ToFront::Release(origin, call, cause) => {
+                self.carried -= usize::from(origin.is_some() && self.carried > 0);
                 let recent = |since: &Instant| since.elapsed() < RELEASE_UNHEARD;
                 while self.unheard.front().is_some_and(|(since, ..)| !recent(since)) {
                     self.unheard.pop_front();
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -79,10 +79,14 @@
     }
 
     fn offer_with(&mut self, call: u64, place: i64, body: &[u8]) {
+        self.offer_from(5, call, place, body);
+    }
+
+    fn offer_from(&mut self, origin: u64, call: u64, place: i64, body: &[u8]) {
         let deadline = Micros(self.now + 3 * SECOND);
         self.tell(Input::Offer(Offer {
             front: FrontId(0),
-            origin: Origin(5),
+            origin: Origin(origin),
             call: CallName(call),
             class: "voice".into(),
             number: "7f3a".into(),
@@ -289,6 +293,17 @@
     assert!(desk.set_up(0).is_some() && desk.command(0).is_none(), "a repeat starts nothing");
     desk.tell(Input::Withdrawn(FrontId(0), Origin(6), CallName(1)));
     assert!(desk.command(0).is_none(), "another connection's end withdraws nothing here");
+    desk.tell(Input::Hangup(FrontId(0), CallName(1), Cause(16)));
+    assert!(desk.command(0).is_none(), "nor does a release of what does not stand yet");
+    assert!(desk.said().is_none());
+    // The same id on another connection is refused there, whether the first one is open or stands.
+    desk.offer_from(6, 1, 0, b"other");
+    assert!(matches!(desk.said(), Some(ToFront::Refuse(Origin(6), CallName(1), _))));
+    desk.stands(0, 1);
+    assert!(matches!(desk.said(), Some(ToFront::Answer(Origin(5), CallName(1), _))));
+    desk.offer_from(6, 1, 0, b"other");
+    assert!(matches!(desk.said(), Some(ToFront::Refuse(Origin(6), CallName(1), _))));
+    assert!(desk.command(0).is_none() && desk.command(1).is_none());
     let deadline = Micros(desk.now + SECOND);
     desk.tell(Input::Offer(Offer {
         front: FrontId(0),
--- a/tests/mixed.rs
+++ b/tests/mixed.rs
@@ -129,6 +129,11 @@
     assert_eq!(seen, [Seen::SetUp, Seen::Release(16)], "the hub is told, and never answers");
 }
 
+/// All connections are used in turn: one that says nothing after it is opened is closed.
+fn connection(call: u64) -> usize {
+    ((call / 16 + call) % 4) as usize
+}
+
 #[test]
 fn mixed_load_keeps_the_rules() {
     let site = start(Manner::AnswerAfter(Duration::from_millis(30)), Manner::Answer);
@@ -153,7 +158,7 @@
         let jump = if (60..63).contains(&round) { 8 } else { 1 };
         for extra in 0..jump {
             let call = 0x1000 + round * 16 + extra;
-            let caller = &mut callers[(call % 4) as usize];
+            let caller = &mut callers[connection(call)];
             caller.invite(call, 2500, (call % 2) as i64);
             if round % 10 == 7 {
                 cancelled.push(call);
@@ -162,7 +167,7 @@
         phones.dial(100 + round as u16, 0x9000 + round);
         phones.drive(Duration::from_millis(25));
         if let Some(call) = cancelled.last().filter(|c| (**c - 0x1000) / 16 == round) {
-            callers[(call % 4) as usize].send("CANCEL", *call, "", b"");
+            callers[connection(*call)].send("CANCEL", *call, "", b"");
         }
         if told.is_none() && site.log.polls.lock().expect("lock").contains(&2) {
             told = Some(Instant::now());
@@ -175,7 +180,7 @@
         let jump = if (60..63).contains(&round) { 8 } else { 1 };
         for extra in 0..jump {
             let call = 0x1000 + round * 16 + extra;
-            let caller = &mut callers[(call % 4) as usize];
+            let caller = &mut callers[connection(call)];
             let (status, ..) = caller.answer(call).expect("each call is answered");
             caller.take_in();
             let finals = caller.said.iter().filter(|s| matches!(s, Said::Answer(c, ..) if *c == call));
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -267,6 +267,45 @@
     assert!(!caller.said.contains(&Said::Bye(0x96, 41)), "a call that stands belongs to no connection");
 }
 
+#[test]
+fn silent_and_halting_callers_are_closed_and_a_taken_id_is_refused() {
+    let record = Record::default();
+    let hub = Hub::start(0, Manner::Silent, &record);
+    let program = Program::start(&targets(&[&hub]), None, None);
+    let start = Instant::now();
+    let mut silent = Caller::connect(program.address);
+    let mut blank = Caller::connect(program.address);
+    blank.stream.write_all(b"\r\n\r\n").expect("written");
+    let mut halting = Caller::connect(program.address);
+    halting.stream.write_all(b"INVITE sip:1@net SIP/2.0\r\nCall-ID: 00").expect("written");
+    let mut short = Caller::connect(program.address);
+    short.stream.write_all(b"BYE sip:1@net SIP/2.0\r\nContent-Length: 90\r\n\r\nno").expect("written");
+    // One that waits for its answer stays.
+    let mut waiting = Caller::connect(program.address);
+    waiting.invite(0x41, 15_000, 0);
+    hub.wait_for(0x41, Seen::SetUp);
+    // Its id is taken: on the same connection, and on another.
+    waiting.invite(0x41, 15_000, 0);
+    assert_eq!(status(&mut waiting, 0x41), 503);
+    waiting.said.clear();
+    let mut other = Caller::connect(program.address);
+    other.invite(0x41, 15_000, 0);
+    assert_eq!(status(&mut other, 0x41), 503);
+    other.send("BYE", 0x41, "", b"");
+    // One with a set-up open that stops half-way through the next message hears that the first failed.
+    let mut both = Caller::connect(program.address);
+    both.invite(0x42, 15_000, 0);
+    both.stream.write_all(b"OPTIONS sip:").expect("written");
+    assert_eq!(status(&mut both, 0x42), 500);
+    for (who, caller) in [("silent", &mut silent), ("blank", &mut blank), ("halting", &mut halting)] {
+        until(who, || (!caller.take_in()).then_some(()));
+    }
+    until("short", || (!short.take_in()).then_some(()));
+    assert!(start.elapsed() < Duration::from_secs(10), "{:?}; 30 s was too long", start.elapsed());
+    assert!(waiting.take_in() && waiting.said.is_empty(), "the open call is untouched: {:?}", waiting.said);
+    assert_eq!(hub.seen(0x41), [Seen::SetUp]);
+}
+
 #[test]
 fn a_bad_configuration_stops_the_start_with_one_line() {
     let run = |document: &str, operator: Option<&str>| {
