Bound how fast a hub's wait is held to rise: it was held to be seconds long and unused

Checked: with a probe of each controller's beliefs every 250 ms. n1 held hub 1's wait to be 1,408 ms and n2 2,639 ms, falling over 3 and 6 s, while n0 was answered there in 40 ms: hub 1 had told a rate of 3.4 to 5.3 set-ups a second once, and fleet() added (flow / rate - 1) x 0.25 s to the wait at a stroke. With such a wait nothing is sent, so no own answer corrects it. Ruled out: lines (25 to 60 free), trials (none), the sockets (first attempt after 0.1 ms). Line at fault: logic.rs fleet(), slope. Conclusion: a figure told once for a moment is no rate; the part let through still falls to its least by it.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -67,6 +67,10 @@
 const SPARE_LEAST: f64 = 0.02;
 /// A wait grows with what all gateways bring over what is carried, if by more than this part.
 const WAIT_CHANCE: f64 = 0.15;
+/// ... and by no more than this a second. Danger: a busy processor tells for a moment that it can take next
+/// to nothing, which is no rate that it works at. Its wait would be held to be seconds long, nothing would
+/// be sent there, and so nothing would tell better.
+const WAIT_RISE: f64 = 1.0;
 /// Where no rate is told, what a server is held to carry creeps back by this part a second.
 const CARRIES_RISE: f64 = 0.15;
 /// A turn for a diverted call is good for this long; many go unused, so there are so many more.
@@ -878,7 +882,8 @@
         }
         self.passed += (self.pass.min(1.0 - self.share.now(now)) - self.passed) * new;
         let over = self.flow / self.carries.max(0.1) - 1.0;
-        let slope = if over > 0.0 { (over - WAIT_CHANCE).max(0.0) } else { over.max(-WAIT_FALL) };
+        let slope =
+            if over > 0.0 { (over - WAIT_CHANCE).clamp(0.0, WAIT_RISE) } else { over.max(-WAIT_FALL) };
         self.wait = (self.wait + Micros((slope.max(0.0) * span * 1e6) as u64))
             - Micros((-slope.min(0.0) * span * 1e6) as u64);
         self.wait_at = self.wait_at.map(|_| now);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -427,6 +427,20 @@
     assert_eq!(desk.reach_first(0, 20), 20, "cut callers leave some standing");
 }
 
+#[test]
+fn a_rate_of_next_to_nothing_told_once_does_not_shut_a_server() {
+    let mut desk = Desk::new(1);
+    assert_eq!(desk.dial_and_stand(0), Some(0));
+    for (free, rate) in [(60.0, 30.0), (50.0, 30.0), (40.0, 1.0), (40.0, 30.0)] {
+        desk.now += 300_000;
+        let told = Report { free: Some(free), size: Some(100.0), can_take: Some(rate), ..Report::default() };
+        desk.report(0, told);
+    }
+    desk.now += 10_000;
+    let reached = (0..20).filter(|_| desk.dial_and_stand(0).is_some()).count();
+    assert!(reached > 0, "its wait is no longer than the time in which it can have grown");
+}
+
 #[test]
 fn a_told_wait_lasts_while_the_rate_is_brought() {
     let mut desk = Desk::new(2);
