Send what would be refused to a draining hub within its grace

Checked: with a probe of the beliefs every 250 ms. From the drain at 13.0 s on all calls go to hub 3, whose 88 lines are full within 0.3 s (1 to 20 free); 10 to 19 of 14 to 22 calls a quarter second are refused with no other hub open, till the next hub is in the list 2.4 s later. Ruled out: waits (20 to 70 ms), trials (none), shares (nought), a missed change of the list. Done: a hub that drains stays for 1.5 s as the last resort of calls that would be refused; only where this controller saw it up before. Settings holds the grace. Conclusion: a drain is no refusal.

--- a/src/config.rs
+++ b/src/config.rs
@@ -206,6 +206,7 @@
         warm_up: contract.key("warmUp").or(Micros(0), At::micros)?,
         overload_factor: contract.key("overloadFactor").or(1.0, At::number)?,
         overload_for: contract.key("overloadFor").or(Micros(0), At::micros)?,
+        drain_grace: contract.key("drainGrace").or(Micros(2_000_000), At::micros)?,
         release: info.key("release").or(Micros(0), At::micros)?,
         resend: info.key("resend").or(Micros(0), At::micros)?,
         max_attempts: limits.key("maxAttempts").or(1, At::count)?,
@@ -405,7 +406,7 @@
     pub fn read(root: &At, listen: Option<String>) -> Read<Config> {
         let at = root.key("settings");
         let (settings, names) = settings(&at)?;
-        let (limits, contract, given) = (at.key("limits"), at.key("contract"), root.key("limits"));
+        let (limits, given) = (at.key("limits"), root.key("limits"));
         let listen = match listen {
             Some(text) => text.parse().map_err(|_| ConfigError {
                 path: LISTEN_VARIABLE.into(),
@@ -430,7 +431,7 @@
             known: root.key("known").or(Changes::default(), changes)?,
             limits: Limits {
                 dial_timeout: micros(limits.key("dialTimeout").or(Micros(500_000), At::micros)?),
-                drain_grace: contract.key("drainGrace").or(Micros(2_000_000), At::micros)?,
+                drain_grace: settings.drain_grace,
                 release: settings.release,
                 max_open: limits.key("maxOpen").or(20_000, At::count)?.max(1) as usize,
                 description_bytes: given.key("memory_mb").or(192, At::count)? as usize * MEBIBYTE / 4,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -86,6 +86,8 @@
     pub overload_factor: f64,
     /// ... when kept up for this long: the window of the cold budget.
     pub overload_for: Micros,
+    /// Nothing new goes to a server this long after it was told to drain or to be gone.
+    pub drain_grace: Micros,
     /// Nothing for a call within this after a time-out, cut or cancel.
     pub release: Micros,
     /// A waiting set-up is sent again by the network after this; nought: never.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,7 +20,7 @@
 //!         effect: Effect::Free, places: vec![], hold: Micros(8_000_000),
 //!     }],
 //!     cold_from: 0.4, warm_up: Micros(10_000_000),
-//!     overload_factor: 3.0, overload_for: Micros(1_500_000), release: Micros(300_000),
+//!     overload_factor: 3.0, overload_for: Micros(1_500_000), drain_grace: Micros(2_000_000), release: Micros(300_000),
 //!     resend: Micros(0), max_attempts: 4, may_cancel: true,
 //!     max_stay_away: Micros(0), may_tell: false, index: 0, must_subscribe: false,
 //!     own_place: None,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -43,6 +43,8 @@
 const STAND_PART: f64 = 0.85;
 /// A refused caller stays away for this part of the time left to its aim.
 const AWAY_PART: f64 = 0.3;
+/// A draining server is sent nothing for so long before its grace ends: news of the drain is late.
+const DRAIN_MARGIN: Micros = Micros(500_000);
 /// Final answers are given this long before the caller's time is up: a few rounds of the wire.
 const ANSWER_MARGIN: Micros = Micros(30_000);
 /// A server that answers nothing for this part of the tightest objective, though asked, is silent.
@@ -183,6 +185,8 @@
 struct Server {
     place: i64,
     up: bool,
+    /// While it drains, what no other server takes may still go there, till then.
+    drains_until: Micros,
     born: Option<Micros>,
     cold_until: Micros,
     turns: Turns, // Turns: while cold for all calls, else for those that have another first choice
@@ -352,7 +356,9 @@
         }
         if kind != ListKind::Changes {
             for (id, server) in self.servers.iter_mut() {
-                server.up &= entries.iter().any(|e| e.server == *id);
+                if !entries.iter().any(|e| e.server == *id) {
+                    (server.up, server.drains_until) = (false, Micros(0));
+                }
             }
         }
         for entry in entries {
@@ -365,6 +371,12 @@
                 *server = Server { pending, carried, ..Server::new(&entry) };
             }
             server.place = entry.place;
+            let grace = self.set.drain_grace - DRAIN_MARGIN;
+            server.drains_until = match entry.phase {
+                Phase::Draining if server.up && !new => now + grace,
+                Phase::Draining => server.drains_until,
+                _ => Micros(0),
+            };
             server.up = entry.phase == Phase::Up;
             let cold_until = entry.born.map_or(Micros(0), |b| b + self.set.warm_up);
             if new || cold_until > server.cold_until.max(now) {
@@ -372,7 +384,12 @@
             }
             server.cold_until = server.cold_until.max(cold_until);
         }
-        self.servers.retain(|_, s| s.up || !s.pending.is_empty());
+        self.forget_servers();
+    }
+
+    fn forget_servers(&mut self) {
+        let now = self.now;
+        self.servers.retain(|_, s| s.up || now < s.drains_until || !s.pending.is_empty());
     }
 
     // ---- calls ----
@@ -416,7 +433,7 @@
         let Some(call) = self.calls.get(&id) else { return };
         let (worth, transit) = (self.worth(call), call.asked.transit);
         let open: Vec<ServerId> =
-            self.servers.iter().filter(|(s, v)| self.open(call, **s, v)).map(|(s, _)| *s).collect();
+            self.servers.iter().filter(|(s, v)| v.up && self.open(call, **s, v)).map(|(s, _)| *s).collect();
         let first = open.iter().copied().find(|s| self.servers[s].place == call.asked.place);
         if let Some(first) = first {
             if !self.holds_back(first, worth) {
@@ -428,10 +445,23 @@
         let others: Vec<_> = open.into_iter().filter(|s| Some(*s) != first && turn(s)).collect();
         match self.draw(&others).filter(|_| !transit) {
             Some(other) if !self.holds_back(other, worth) => self.send(id, other, actions),
-            _ => self.give_up(id, actions),
+            _ => match self.draining(id) {
+                Some(server) => self.send(id, server, actions),
+                None => self.give_up(id, actions),
+            },
         }
     }
 
+    /// A server that drains, for a call that would be refused: it may end before the server does, and a
+    /// call that is cut comes again. Danger: the others are filled by what the draining one no longer gets.
+    fn draining(&self, id: CallId) -> Option<ServerId> {
+        let call = self.calls.get(&id)?;
+        let open = |(s, v): &(&ServerId, &Server)| !v.up && self.open(call, **s, v);
+        let mut draining: Vec<_> = self.servers.iter().filter(open).collect();
+        draining.sort_by_key(|(_, v)| v.place != call.asked.place);
+        draining.first().map(|(s, _)| **s)
+    }
+
     fn holds_back(&mut self, server: ServerId, worth: f64) -> bool {
         let now = self.now;
         self.servers.get_mut(&server).is_some_and(|s| s.share.holds_back(worth, 1.0 - s.pass, now))
@@ -501,7 +531,8 @@
         let wait = server.expected_wait(self.now);
         let resent = self.set.resend > Micros(0) && wait + wait >= self.set.resend;
         let warm = self.now >= server.cold_until || !resent && server.turns.room >= 1.0;
-        in_time && alone && once && server.up && warm && self.now >= call.not_before
+        let takes = server.up || self.now < server.drains_until;
+        in_time && alone && once && takes && warm && self.now >= call.not_before
     }
 
     fn send(&mut self, id: CallId, to: ServerId, actions: &mut Vec<Action>) {
@@ -607,7 +638,7 @@
             _ => {}
         }
         self.report(end.server, &end.report);
-        self.servers.retain(|_, s| s.up || !s.pending.is_empty());
+        self.forget_servers();
     }
 
     /// What becomes of the call: over, another attempt at once or after the release, or given up.
@@ -713,7 +744,7 @@
             server.trial_at = Some(server.trial_at.unwrap_or(next));
             free.tried.push(at);
         }
-        let other = self.servers.iter().any(|(s, v)| self.open(&free, *s, v));
+        let other = self.servers.iter().any(|(s, v)| v.up && self.open(&free, *s, v));
         if other && self.now < free.aim && self.set.may_cancel {
             actions.push(Action::Cancel(id, attempt));
         }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -19,6 +19,7 @@
         warm_up: Micros(10_000_000),
         overload_factor: 3.0,
         overload_for: Micros(1_500_000),
+        drain_grace: Micros(2_000_000),
         release: Micros(300_000),
         resend: Micros(0),
         max_attempts: 4,
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -234,6 +234,23 @@
     assert_eq!(desk.dial(0), None, "a full list without them ends both");
 }
 
+#[test]
+fn what_would_be_refused_goes_to_a_draining_server_within_its_grace() {
+    let mut desk = Desk::new(2);
+    desk.list(0, Phase::Draining, 0);
+    assert_eq!(desk.dial_and_stand(0), Some(1), "not while another takes it");
+    desk.report(1, share(1.0));
+    desk.now += SECOND;
+    assert_eq!(desk.dial_and_stand(0), Some(0));
+    desk.list(0, Phase::Draining, 0);
+    desk.now += SECOND;
+    desk.report(1, share(1.0));
+    assert_eq!(desk.dial(0), None, "the grace is nearly over, and telling it again renews nothing");
+    // One that was draining when it was first heard of was told to earlier, to nobody knows whom.
+    desk.list(7, Phase::Draining, 0);
+    assert_eq!(desk.dial(7), None);
+}
+
 #[test]
 fn rule_4_cold_server_gets_an_even_part() {
     let mut desk = Desk::new(1);
