Forget hubs that were replaced long ago; take a caller to wait 60 s at most

Seen by reading: core/mod.rs hub() kept every hub ever named and, from the 4,096th on, list() left new ones out for good, so that a controller that runs through enough replacements would have served nobody; front.rs let a caller name a wait of 600 s, for which the timers of its set-up stay in the wheel. Ruled out as a growth: calls, ended ids and parked releases, which are bounded by count and age. Lines at fault: core/mod.rs hub() and HUBS_MOST, front.rs ANSWER_WITHIN_MOST.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -28,8 +28,10 @@
 const ENDED_MOST: usize = 32_768;
 /// The front passes its test this long after the start, though not all hubs have told their state.
 const READY_AFTER: Micros = Micros(1_000_000);
-/// Hubs that are gone stay known up to so many, so that one that comes back keeps its id.
+/// Hubs in service and gone at most; what a list names beyond them is left out.
 const HUBS_MOST: usize = 4096;
+/// Hubs that are gone stay known up to so many, so that one that comes back keeps its id.
+const GONE_MOST: usize = 64;
 
 /// The Unix clock: read once, and moved on by the monotonic one, which tests can pause.
 #[derive(Clone, Copy, Debug)]
@@ -73,6 +75,13 @@
     fixed: bool,
 }
 
+impl HubState {
+    /// Gone, with no link left that could speak for it.
+    fn forgettable(&self) -> bool {
+        self.phase == Phase::Gone && self.link.is_none() && !self.fixed
+    }
+}
+
 #[derive(Debug)]
 struct Attempt {
     link: LinkId,
@@ -146,6 +155,7 @@
     last_call: u64,
     last_attempt: u64,
     last_link: u64,
+    last_hub: u64,
     listed: bool,
 }
 
@@ -180,6 +190,7 @@
             last_call: 0,
             last_attempt: 0,
             last_link: 0,
+            last_hub: 0,
             listed: false,
         })
     }
@@ -189,11 +200,17 @@
         self.calls.len()
     }
 
+    /// Hubs that are known, in service and gone.
+    pub fn known_hubs(&self) -> usize {
+        self.hubs.len()
+    }
+
     /// Adds hubs that no list names or takes away: those of the operator's file.
     pub fn fix(&mut self, now: Micros, hubs: Vec<Hub>) {
         for hub in &hubs {
-            let index = self.hub(hub);
-            self.hubs[index].fixed = true;
+            if let Some(index) = self.hub(hub) {
+                self.hubs[index].fixed = true;
+            }
         }
         self.list(now, false, hubs);
     }
@@ -530,12 +547,21 @@
 
     // ---- the list ----
 
-    fn hub(&mut self, hub: &Hub) -> usize {
+    /// Where that hub's state is. Danger: hubs are replaced for as long as the program runs; the state of
+    /// the one that has been gone longest makes room for a new one, which gets an id of its own.
+    fn hub(&mut self, hub: &Hub) -> Option<usize> {
         if let Some(index) = self.hubs.iter().position(|h| h.uid == hub.uid) {
-            return index;
+            return Some(index);
+        }
+        let gone: Vec<usize> = (0..self.hubs.len()).filter(|i| self.hubs[*i].forgettable()).collect();
+        let oldest = gone.iter().copied().min_by_key(|i| self.hubs[*i].told);
+        let room = oldest.filter(|_| gone.len() >= GONE_MOST);
+        if room.is_none() && self.hubs.len() >= HUBS_MOST {
+            return None;
         }
-        self.hubs.push(HubState {
-            id: ServerId(self.hubs.len() as u64 + 1),
+        self.last_hub += 1;
+        let state = HubState {
+            id: ServerId(self.last_hub),
             uid: hub.uid.clone(),
             endpoint: hub.endpoint.clone(),
             place: hub.place,
@@ -545,8 +571,12 @@
             link: None,
             heard: false,
             fixed: false,
-        });
-        self.hubs.len() - 1
+        };
+        match room {
+            Some(index) => self.hubs[index] = state,
+            None => self.hubs.push(state),
+        }
+        Some(room.unwrap_or(self.hubs.len() - 1))
     }
 
     fn list(&mut self, now: Micros, all: bool, hubs: Vec<Hub>) {
@@ -556,10 +586,7 @@
             absent = (0..self.hubs.len()).filter(|i| !named(&self.hubs[*i])).collect();
         }
         for hub in &hubs {
-            if self.hubs.len() >= HUBS_MOST && !self.hubs.iter().any(|h| h.uid == hub.uid) {
-                continue;
-            }
-            let index = self.hub(hub);
+            let Some(index) = self.hub(hub) else { continue };
             let state = &mut self.hubs[index];
             // A start or an address that differs is another process: what the old one had is cut.
             let other = state.born != hub.born && hub.phase == Phase::Up
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -40,8 +40,8 @@
 const RELEASE_UNHEARD: Duration = Duration::from_secs(1);
 /// A caller that does not say how long it waits is taken to wait as long as RFC 3261's timer B.
 const ANSWER_WITHIN: u64 = 32_000;
-/// ... and never longer than this.
-const ANSWER_WITHIN_MOST: u64 = 600_000;
+/// ... and never longer than this. Danger: a set-up's timers stay till then, also once it is over.
+const ANSWER_WITHIN_MOST: u64 = 60_000;
 
 enum ToConnection {
     Core(ToFront),
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -255,6 +255,30 @@
     assert!(desk.said().is_none(), "the closed link is heard no more");
 }
 
+#[test]
+fn hubs_that_were_replaced_are_forgotten_and_new_ones_always_taken() {
+    let mut desk = Desk::new();
+    let (first, second) = (hub("a", "10.0.0.1:1", 0, Phase::Gone), hub("a", "10.0.0.1:1", 0, Phase::Up));
+    desk.tell(Input::List(false, vec![first]));
+    desk.tell(Input::List(false, vec![second]));
+    for number in 0..5_000 {
+        desk.now += 1_000;
+        let uid = format!("s-{number}");
+        // Each at the address of the one before.
+        desk.tell(Input::List(false, vec![hub(&uid, "10.0.0.9:1", 1, Phase::Up)]));
+        desk.tell(Input::List(false, vec![hub(&uid, "", 1, Phase::Gone)]));
+    }
+    assert!(desk.core.known_hubs() < 100, "{} hubs known", desk.core.known_hubs());
+    desk.tell(Input::List(false, vec![hub("b", "10.0.0.2:1", 1, Phase::Gone)]));
+    desk.tell(Input::List(false, vec![hub("last", "10.0.0.9:1", 1, Phase::Up)]));
+    desk.offer(1, 1);
+    let last = desk.links.lock().expect("lock").len() - 1;
+    assert!(desk.set_up(last).is_some());
+    desk.offer(2, 0);
+    let set_up = std::iter::from_fn(|| desk.command(2)).any(|c| matches!(c, ToHub::SetUp(_)));
+    assert!(set_up, "the hub that stays serves on through all of it");
+}
+
 #[test]
 fn an_answer_under_an_id_that_nobody_knows_means_nothing() {
     let mut desk = Desk::new();
