--- a/src/lib.rs
+++ b/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod interface;
 mod logic;
 pub mod net;
+pub mod store;
 pub mod wire;
 
 pub use logic::Controller;
