Let the module give up its beliefs and take recalled ones as a prior

A start knows no rate and no wait until calls have ended. Event::Recalled brings what was known before, for servers that the next list names first; belief() gives it up. A recalled rate counts until the first one is told, and a higher one wipes what was held back; a cold server takes no recalled rate.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -257,9 +257,56 @@
     pub report: Report,
 }
 
+/// What is believed of a server that may be worth something to the next start. Nought stands for what is
+/// not known, but for `weight` and `pass`, where 1 does.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Belief {
+    /// The most calls a second it was seen to carry, warm, for all gateways.
+    pub carried: f64,
+    /// Set-ups a second that it is held to carry now.
+    pub carries: f64,
+    /// The wait at its processor.
+    pub wait: Micros,
+    /// Smoothed delay of own set-ups.
+    pub delay: Micros,
+    /// Its weight in the draw, up to 1.
+    pub weight: f64,
+    /// The part of own calls that is let through, up to 1.
+    pub pass: f64,
+    /// The share held back, up to 1,
+    pub share: f64,
+    /// ... and when it lapses.
+    pub share_until: Micros,
+    /// It gives signs of being dead.
+    pub silent: bool,
+    /// It is taken for cold until then.
+    pub cold_until: Micros,
+}
+
+impl Default for Belief {
+    fn default() -> Belief {
+        let none = Micros(0);
+        Belief {
+            carried: 0.0,
+            carries: 0.0,
+            wait: none,
+            delay: none,
+            weight: 1.0,
+            pass: 1.0,
+            share: 0.0,
+            share_until: none,
+            silent: false,
+            cold_until: none,
+        }
+    }
+}
+
 /// What happens to an instance.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
+    /// What was known before the start: the mean length of a call, in seconds, if any, and of servers that
+    /// the next list names for the first time.
+    Recalled(Option<f64>, Vec<(ServerId, Belief)>),
     /// News of the list.
     List(ListKind, Vec<Entry>),
     /// A new call.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -115,6 +115,10 @@
 const NUMBER_MOST: f64 = 0.9;
 /// The least mean length of a call, in seconds, that lines are reckoned with.
 const HOLD_LEAST: f64 = 0.1;
+/// A recalled rate is wrong if the first one told is over so many times it.
+const RECALL_OFF: f64 = 1.25;
+/// Calls that a recalled mean length counts as.
+const RECALL_CALLS: f64 = 20.0;
 /// Callers remembered at most: a few seconds of refusals at the highest rates.
 const CALLERS_KEPT: usize = 4096;
 /// Numbers remembered at most.
@@ -214,6 +218,7 @@
     spare: f64, // What all gateways may bring beyond that, a second; no bound where nothing is told
     pass: f64,  // The part of own calls to let through
     trial_at: Option<Micros>, // Set while it gives signs of being dead: next trial not before this
+    prior: bool, // What it is held to carry is recalled: no rate was told since the start
 }
 
 /// What the servers' figures are read with.
@@ -250,6 +255,8 @@
     env: Env,
     least_worth: f64,
     arrivals: u64,
+    holds: f64, // Calls that the mean length is reckoned over
+    recalled: BTreeMap<ServerId, Belief>,
     servers: BTreeMap<ServerId, Server>,
     calls: BTreeMap<CallId, Call>,
     numbers: BTreeMap<u64, Share>,
@@ -303,6 +310,8 @@
             },
             least_worth: if least > 0.0 { least } else { 1.0 },
             arrivals: 0,
+            holds: 0.0,
+            recalled: BTreeMap::new(),
             servers: BTreeMap::new(),
             calls: BTreeMap::new(),
             numbers: BTreeMap::new(),
@@ -342,9 +351,29 @@
                 }
             }
             Event::Peer(_, bytes) => self.heard(&bytes),
+            Event::Recalled(hold, servers) => {
+                if let Some(hold) = hold {
+                    (self.env.hold, self.holds) = (hold.max(HOLD_LEAST), RECALL_CALLS);
+                }
+                self.recalled = servers.into_iter().collect();
+            }
         }
     }
 
+    /// The mean length of a call, in seconds.
+    pub fn hold(&self) -> f64 {
+        self.env.hold
+    }
+
+    /// What is believed of a server.
+    pub fn belief(&self, id: ServerId) -> Option<Belief> {
+        let s = self.servers.get(&id)?;
+        let &Server { carried, carries, delay, weight, pass, cold_until, .. } = s;
+        let (wait, silent) = (s.expected_wait(self.now), s.trial_at.is_some());
+        let (share, share_until) = (s.share.now(self.now), s.share.until);
+        Some(Belief { carried, carries, wait, delay, weight, pass, share, share_until, silent, cold_until })
+    }
+
     // ---- the list ----
 
     fn list(&mut self, kind: ListKind, entries: Vec<Entry>, actions: &mut Vec<Action>) {
@@ -383,7 +412,11 @@
                 server.turns = Turns { room: phase, at: now };
             }
             server.cold_until = server.cold_until.max(cold_until);
+            if let Some(belief) = self.recalled.remove(&entry.server).filter(|_| new) {
+                server.recall(&belief, now);
+            }
         }
+        self.recalled.clear();
         self.forget_servers();
     }
 
@@ -402,7 +435,8 @@
             return;
         };
         let (objective, deadline) = (class.objective, class.deadline);
-        self.env.hold += (class.hold.secs().max(HOLD_LEAST) - self.env.hold) / (self.arrivals as f64 + 1.0);
+        self.holds += 1.0;
+        self.env.hold += (class.hold.secs().max(HOLD_LEAST) - self.env.hold) / (self.holds + 1.0);
         let known = asked.number.and_then(|n| self.callers.remove(&n));
         let first = known.filter(|t| !asked.returned && self.now - *t < deadline).unwrap_or(self.now);
         let call = Call {
@@ -801,6 +835,10 @@
             s.figure_at = Some(self.now);
         }
         if let Some(rate) = report.can_take {
+            // What was recalled held back what can be taken: it counts no more at all.
+            if std::mem::take(&mut s.prior) && rate > s.carries * RECALL_OFF {
+                (s.weight, s.pass, s.share) = (1.0, 1.0, Share::default());
+            }
             s.can_take = rate;
             s.carries = rate;
         }
@@ -847,6 +885,20 @@
         }
     }
 
+    /// A prior from before the start. Danger: what it holds back would show that it is wrong. It passes a
+    /// part at once, and the first rate told outweighs it. It lets no more through to a cold server.
+    fn recall(&mut self, belief: &Belief, now: Micros) {
+        self.cold_until = self.cold_until.max(belief.cold_until);
+        (self.carried, self.delay, self.took) = (belief.carried, belief.delay, belief.delay);
+        (self.wait, self.wait_at) = (belief.wait, Some(now));
+        (self.weight, self.pass) = (belief.weight.max(WEIGHT_LEAST), belief.pass.max(PASS_LEAST));
+        (self.share.part, self.share.until) = (belief.share, belief.share_until.min(now + SHARE_PERIOD));
+        self.trial_at = belief.silent.then_some(now);
+        if now >= self.cold_until && belief.carries > 0.0 {
+            (self.carries, self.prior) = (belief.carries, true);
+        }
+    }
+
     /// Whether the lines told lately show that set-ups of any gateway are answered. Danger: a gateway
     /// that sends a server one call in seconds takes one lost answer for a dead server.
     fn at_work(&self, env: &Env, now: Micros) -> bool {
@@ -889,7 +941,8 @@
         let used = size - free;
         // Danger: a gateway that starts may be told that all lines are free before they are counted.
         let Some((before, at)) = self.taken.filter(|(before, _)| *before > 0.0) else {
-            (self.flow, self.carries) = (used / env.hold, size / env.hold);
+            self.flow = used / env.hold;
+            self.carries = if self.prior { self.carries } else { size / env.hold };
             self.spare = (free / env.hold).max(self.carries * SPARE_LEAST);
             self.taken = Some((used, now));
             return;
