Keep what is learnt in a state folder: task, operator's section, command line, logs

A restart forgot which hubs were slow. Operator's file: state.folder, interval, half-lives, greatest age; off by default. The core paints a picture of its beliefs 128 hubs a tick; a task writes it off the core's thread, the latest wins, a failing disk is retried with back-off and said once. Memory ages what was read; another start inherits its machine's capacity alone. petreldock check and state show|verify|forget on clap; logs on tracing, text or JSON.

--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,283 @@
+//! The command line. Without a command the program serves.
+
+use crate::config::{Config, Operator, CONFIG_VARIABLE, LISTEN_VARIABLE, NAME_VARIABLE, OPERATOR_VARIABLE};
+use crate::interface::Micros;
+use crate::learning::{Kept, Picture};
+use crate::state::{self, Examined};
+use clap::{Parser, Subcommand};
+use miniserde::{json, Serialize};
+use std::fmt::Write;
+use std::path::PathBuf;
+
+/// A session controller for shared table hubs.
+#[derive(Debug, Parser)]
+#[command(name = "petreldock", version, after_help = after_help())]
+pub struct Arguments {
+    /// What to do; without it, serve.
+    #[command(subcommand)]
+    pub command: Option<Command>,
+}
+
+fn after_help() -> String {
+    format!(
+        "Environment:\n  {CONFIG_VARIABLE}        the configuration, a JSON file (needed to serve and to check)\n  \
+         {LISTEN_VARIABLE}        overrides its 'listen'\n  {NAME_VARIABLE}          overrides its 'name'\n  \
+         {OPERATOR_VARIABLE}  the operator's file: IAX2, state, logs"
+    )
+}
+
+/// The commands.
+#[derive(Debug, Subcommand)]
+pub enum Command {
+    /// Serve calls until SIGTERM or SIGINT
+    Serve,
+    /// Read all configuration; say what is in force, or which key is faulty
+    Check,
+    /// Look at what is kept over restarts
+    #[command(subcommand)]
+    State(State),
+}
+
+/// What to do with a state folder.
+#[derive(Debug, Subcommand)]
+pub enum State {
+    /// Show what was learnt; safe beside a running program
+    Show {
+        /// The state folder
+        folder: PathBuf,
+        /// Write JSON in place of a table
+        #[arg(long)]
+        json: bool,
+    },
+    /// Check every file; exit with 1 if one that a start looks at is faulty
+    Verify {
+        /// The state folder
+        folder: PathBuf,
+        /// Write JSON in place of a table
+        #[arg(long)]
+        json: bool,
+    },
+    /// Remove what was learnt; refused while a program runs on the folder
+    Forget {
+        /// The state folder
+        folder: PathBuf,
+    },
+}
+
+/// What a command printed, and whether all was well.
+#[derive(Debug, Default)]
+pub struct Printed {
+    /// For standard output.
+    pub text: String,
+    /// The exit code is 0.
+    pub good: bool,
+}
+
+/// Says what of a configuration is in force.
+pub fn check(config: &Config) -> String {
+    let mut text = String::new();
+    let mut line = |what: &str, value: String| {
+        let _ = writeln!(text, "{what:<22}{value}");
+    };
+    let Operator { iax2_listen, iax2_hubs, state, log, .. } = &config.operator;
+    let hubs: usize = config.known.events.iter().map(|e| e.targets.len()).sum();
+    let address = |a: Option<std::net::SocketAddr>| a.map_or("off".into(), |a| a.to_string());
+    line("name", config.name.clone());
+    line("listen", config.listen.to_string());
+    line("changelog", address(config.change_log));
+    line("known", format!("{hubs} hubs up to event {}", config.known.seq));
+    line("settings.classes", config.names.classes.keys().cloned().collect::<Vec<_>>().join(", "));
+    line("limits.sockets", config.limits.sockets.to_string());
+    line("iax2.listen", address(*iax2_listen));
+    line("iax2.hubs", iax2_hubs.len().to_string());
+    match state {
+        None => line("state", "off".into()),
+        Some(state) => {
+            let seconds = |m: Micros| format!("{} s", m.secs());
+            let lives = &state.ageing;
+            line("state.folder", state.folder.display().to_string());
+            line("state.intervalMs", (state.interval.0 / 1000).to_string());
+            line("state.greatestAgeMs", (lives.greatest.0 / 1000).to_string());
+            for (kind, life) in [
+                ("wait", lives.wait),
+                ("load", lives.load),
+                ("rate", lives.rate),
+                ("signs", lives.signs),
+                ("capacity", lives.capacity),
+            ] {
+                line(&format!("state.halfLivesMs.{kind}"), format!("{} ({})", life.0 / 1000, seconds(life)));
+            }
+        }
+    }
+    line("log.level", format!("{:?}", log.level).to_lowercase());
+    line("log.form", if log.json { "json" } else { "text" }.into());
+    text
+}
+
+#[derive(Serialize)]
+struct ShownFile {
+    file: String,
+    used: bool,
+    fault: Option<String>,
+    version: Option<u16>,
+    generation: Option<u64>,
+    at_ms: Option<u64>,
+    hubs: Option<usize>,
+}
+
+#[derive(Serialize)]
+struct ShownHub {
+    uid: String,
+    endpoint: String,
+    place: i64,
+    born_ms: Option<u64>,
+    carried_per_s: f64,
+    carries_per_s: f64,
+    wait_ms: f64,
+    delay_ms: f64,
+    weight: f64,
+    pass: f64,
+    share: f64,
+    silent: bool,
+}
+
+#[derive(Serialize)]
+struct Shown {
+    file: String,
+    at_ms: u64,
+    age_s: f64,
+    hold_s: f64,
+    hubs: Vec<ShownHub>,
+}
+
+fn shown(kept: &Kept) -> ShownHub {
+    let (hub, b) = (&kept.hub, &kept.belief);
+    ShownHub {
+        uid: hub.uid.to_string(),
+        endpoint: hub.endpoint.to_string(),
+        place: hub.place,
+        born_ms: hub.born.map(|b| b.0 / 1000),
+        carried_per_s: b.carried,
+        carries_per_s: b.carries,
+        wait_ms: b.wait.0 as f64 / 1e3,
+        delay_ms: b.delay.0 as f64 / 1e3,
+        weight: b.weight,
+        pass: b.pass,
+        share: b.share,
+        silent: b.silent,
+    }
+}
+
+/// Runs a command on a state folder; `now` is the Unix clock's time.
+///
+/// # Errors
+/// One line that says what could not be done.
+pub fn on_state(command: &State, now: Micros) -> Result<Printed, String> {
+    let named = |folder: &PathBuf, e: &dyn std::fmt::Display| format!("{}: {e}", folder.display());
+    match command {
+        State::Show { folder, json } => {
+            let files = state::examine(folder).map_err(|e| named(folder, &e))?;
+            let found = files.into_iter().filter(|f| f.used).find_map(|f| Some((f.file, f.read.ok()?.1)));
+            let (file, picture) =
+                found.ok_or_else(|| named(folder, &"nothing that can be used is kept here"))?;
+            Ok(Printed { text: show(file, &picture, now, *json), good: true })
+        }
+        State::Verify { folder, json } => {
+            let files = state::examine(folder).map_err(|e| named(folder, &e))?;
+            let good = files.iter().all(|f| !f.used || f.read.is_ok());
+            Ok(Printed { text: verify(files, *json), good })
+        }
+        State::Forget { folder } => {
+            std::fs::read_dir(folder).map_err(|e| named(folder, &e))?;
+            state::forget(folder).map_err(|e| named(folder, &e))?;
+            Ok(Printed { text: format!("{}: forgotten\n", folder.display()), good: true })
+        }
+    }
+}
+
+fn show(file: String, picture: &Picture, now: Micros, as_json: bool) -> String {
+    let age_s = (now.0 as f64 - picture.at.0 as f64) / 1e6;
+    let hubs: Vec<ShownHub> = picture.hubs.iter().map(shown).collect();
+    let shown = Shown { file, at_ms: picture.at.0 / 1000, age_s, hold_s: picture.hold, hubs };
+    if as_json {
+        return json::to_string(&shown) + "\n";
+    }
+    let mut text = format!(
+        "{}: {} hubs, {age_s:.1} s old; a call lasts {:.1} s\n",
+        shown.file,
+        shown.hubs.len(),
+        shown.hold_s
+    );
+    let _ = writeln!(
+        text,
+        "{:<20} {:<21} {:>5} {:>9} {:>9} {:>8} {:>8} {:>6} {:>5} {:>5}  signs",
+        "hub",
+        "endpoint",
+        "place",
+        "carried/s",
+        "carries/s",
+        "wait ms",
+        "delay ms",
+        "weight",
+        "pass",
+        "share"
+    );
+    for h in &shown.hubs {
+        let _ = writeln!(
+            text,
+            "{:<20} {:<21} {:>5} {:>9.1} {:>9.1} {:>8.0} {:>8.0} {:>6.2} {:>5.2} {:>5.2}  {}",
+            h.uid,
+            h.endpoint,
+            h.place,
+            h.carried_per_s,
+            h.carries_per_s,
+            h.wait_ms,
+            h.delay_ms,
+            h.weight,
+            h.pass,
+            h.share,
+            if h.silent { "silent" } else { "" }
+        );
+    }
+    text
+}
+
+fn verify(files: Vec<Examined>, as_json: bool) -> String {
+    let shown: Vec<ShownFile> = files
+        .into_iter()
+        .map(|f| {
+            let (fault, read) = match f.read {
+                Ok(read) => (None, Some(read)),
+                Err(fault) => (Some(fault), None),
+            };
+            let (header, picture) = read.unzip();
+            ShownFile {
+                file: f.file,
+                used: f.used,
+                fault,
+                version: header.map(|h| h.version),
+                generation: header.map(|h| h.generation),
+                at_ms: picture.as_ref().map(|p| p.at.0 / 1000),
+                hubs: picture.map(|p| p.hubs.len()),
+            }
+        })
+        .collect();
+    if as_json {
+        return json::to_string(&shown) + "\n";
+    }
+    let mut text = String::new();
+    for f in &shown {
+        let what = match (&f.fault, f.generation, f.version, f.hubs) {
+            (Some(fault), ..) => format!("faulty: {fault}"),
+            (None, Some(generation), Some(version), Some(hubs)) => {
+                format!("sound: generation {generation}, version {version}, {hubs} hubs")
+            }
+            _ => String::new(),
+        };
+        let _ = writeln!(text, "{:<18} {}{what}", f.file, if f.used { "" } else { "(set aside) " });
+    }
+    if shown.is_empty() {
+        text.push_str("nothing is kept here\n");
+    }
+    text
+}
--- a/src/config.rs
+++ b/src/config.rs
@@ -2,10 +2,12 @@
 //! the platform's environment and JSON, and the operator's file. Errors name the faulty key by its path.
 
 use crate::interface::*;
+use crate::learning::Ageing;
 use miniserde::json::{self, Number, Value};
 use std::collections::BTreeMap;
 use std::fmt;
 use std::net::{Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
 use std::time::Duration;
 
 /// Names the file with the platform's configuration.
@@ -14,9 +16,13 @@
 pub const LISTEN_VARIABLE: &str = "ROUTER_LISTEN";
 /// Overrides `name` of that file.
 pub const NAME_VARIABLE: &str = "ROUTER_NAME";
-/// Names the operator's file, which sets up the IAX2 front and IAX2 hubs; unset: both are off.
+/// Names the operator's file, which sets up IAX2, state that is kept, and logs; unset: all but logs is off.
 pub const OPERATOR_VARIABLE: &str = "PETRELDOCK_OPERATOR";
 
+/// What was learnt is written this often, unless the operator's file says.
+const STATE_EVERY: Micros = Micros(2_000_000);
+/// No half-life and no age is longer: thirty days.
+const AGE_MOST_MS: u64 = 30 * 86_400_000;
 const MEBIBYTE: usize = 1024 * 1024;
 
 /// What is wrong with a configuration, and at which key.
@@ -265,6 +271,44 @@
     pub iax2_hubs: Vec<Iax2Hub>,
     /// Class and time to answer of calls that IAX2 callers place.
     pub iax2_calls: Iax2Calls,
+    /// What is kept over a restart; `None`: nothing.
+    pub state: Option<State>,
+    /// How logs are written.
+    pub log: Log,
+}
+
+/// State that outlives the process.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct State {
+    /// The folder, of this process alone.
+    pub folder: PathBuf,
+    /// How often what was learnt is written.
+    pub interval: Micros,
+    /// How fast it loses its worth.
+    pub ageing: Ageing,
+}
+
+/// How much is logged.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Level {
+    /// What cost something.
+    Error,
+    /// What may.
+    Warn,
+    /// Starts, ends, changes.
+    #[default]
+    Info,
+    /// Single steps.
+    Debug,
+}
+
+/// How logs are written.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Log {
+    /// How much.
+    pub level: Level,
+    /// One JSON object a line, in place of text.
+    pub json: bool,
 }
 
 /// What a call of an IAX2 caller is taken for, where its frames do not say.
@@ -448,11 +492,61 @@
     }
 }
 
+impl State {
+    fn read(at: &At) -> Read<State> {
+        let folder = at.key("folder").text().ok().filter(|f| !f.is_empty());
+        let span = |at: At, other: Micros, (least, most): (u64, u64)| {
+            let ms = at.or(Micros(other.0 / 1000), At::micros)?;
+            match (least..=most).contains(&ms.0) {
+                true => Ok(Micros(ms.0 * 1000)),
+                false => Err(at.expected(&format!("{least} to {most} milliseconds"))),
+            }
+        };
+        let (lives, other) = (at.key("halfLivesMs"), Ageing::default());
+        let life = |key: &str, other| span(lives.key(key), other, (1, AGE_MOST_MS));
+        Ok(State {
+            folder: folder.ok_or_else(|| at.key("folder").expected("a folder's path"))?.into(),
+            interval: span(at.key("intervalMs"), STATE_EVERY, (100, 600_000))?,
+            ageing: Ageing {
+                wait: life("wait", other.wait)?,
+                load: life("load", other.load)?,
+                rate: life("rate", other.rate)?,
+                signs: life("signs", other.signs)?,
+                capacity: life("capacity", other.capacity)?,
+                greatest: span(at.key("greatestAgeMs"), other.greatest, (1, AGE_MOST_MS))?,
+            },
+        })
+    }
+}
+
+impl Log {
+    fn read(at: &At) -> Read<Log> {
+        Ok(Log {
+            level: match at.key("level").or("info", At::text)? {
+                "error" => Level::Error,
+                "warn" => Level::Warn,
+                "info" => Level::Info,
+                "debug" => Level::Debug,
+                _ => return Err(at.key("level").expected("error, warn, info or debug")),
+            },
+            json: match at.key("form").or("text", At::text)? {
+                "text" => false,
+                "json" => true,
+                _ => return Err(at.key("form").expected("text or json")),
+            },
+        })
+    }
+}
+
 impl Operator {
     /// Reads the operator's file; `names` are the classes that it may name.
     pub fn read(root: &At, names: &Names) -> Read<Operator> {
+        let mut operator = Operator {
+            state: root.key("state").or(None, |at| State::read(at).map(Some))?,
+            log: Log::read(&root.key("log"))?,
+            ..Operator::default()
+        };
         let iax2 = root.key("iax2");
-        let mut operator = Operator::default();
         if !iax2.is_there() {
             return Ok(operator);
         }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -11,6 +11,7 @@
 
 use crate::config::{Config, Limits, Names};
 use crate::interface::*;
+use crate::learning::{Identity, Kept, Memory, Painter, Picture};
 use crate::Controller;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::Arc;
@@ -32,6 +33,8 @@
 const HUBS_MOST: usize = 4096;
 /// Hubs that are gone stay known up to so many, so that one that comes back keeps its id.
 const GONE_MOST: usize = 64;
+/// So many hubs' beliefs are gathered at one tick: no call waits for all of them.
+const PAINTED_EACH: usize = 128;
 
 /// The Unix clock: read once, and moved on by the monotonic one, which tests can pause.
 #[derive(Clone, Copy, Debug)]
@@ -63,8 +66,8 @@
 
 struct HubState {
     id: ServerId,
-    uid: String,
-    endpoint: String,
+    uid: Arc<str>,
+    endpoint: Arc<str>,
     place: i64,
     born: Option<Micros>,
     phase: Phase,
@@ -73,9 +76,16 @@
     link: Option<(LinkId, mpsc::Sender<ToHub>)>,
     heard: bool,
     fixed: bool,
+    /// No list has been passed on since it was first named.
+    fresh: bool,
 }
 
 impl HubState {
+    fn identity(&self) -> Identity {
+        let (uid, endpoint) = (self.uid.clone(), self.endpoint.clone());
+        Identity { uid, endpoint, place: self.place, born: self.born }
+    }
+
     /// Gone, with no link left that could speak for it.
     fn forgettable(&self) -> bool {
         self.phase == Phase::Gone && self.link.is_none() && !self.fixed
@@ -119,6 +129,17 @@
     Stop,
 }
 
+/// Where pictures of what is believed go; the latest wins.
+pub type Pictures = watch::Sender<Option<Arc<Picture>>>;
+
+/// Hands out what is believed, every so often.
+struct Keeping {
+    pictures: Pictures,
+    every: Micros,
+    next: Micros,
+    painter: Option<Painter>,
+}
+
 /// How the core is, for its fronts and for the end of the program.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Status {
@@ -157,6 +178,8 @@
     last_link: u64,
     last_hub: u64,
     listed: bool,
+    memory: Option<Memory>,
+    keeping: Option<Keeping>,
 }
 
 impl Core {
@@ -192,9 +215,21 @@
             last_link: 0,
             last_hub: 0,
             listed: false,
+            memory: None,
+            keeping: None,
         })
     }
 
+    /// Takes up what an earlier start knew. It is for the hubs that the next lists name.
+    pub fn recollect(&mut self, memory: Memory) {
+        self.memory = Some(memory);
+    }
+
+    /// Has what is believed handed out every so often, once a list has come.
+    pub fn keep(&mut self, pictures: Pictures, every: Micros, now: Micros) {
+        self.keeping = Some(Keeping { pictures, every, next: now + every, painter: None });
+    }
+
     /// Calls in the table.
     pub fn open_calls(&self) -> usize {
         self.calls.len()
@@ -241,9 +276,43 @@
             }
             Input::Hub(link, from) => self.heard(now, link, from),
             Input::List(all, hubs) => self.list(now, all, hubs),
+            Input::Keep => self.paint(now, usize::MAX),
         }
     }
 
+    /// Gathers the beliefs of up to `most` more hubs, and hands out the picture once it is whole.
+    fn paint(&mut self, now: Micros, most: usize) {
+        // Danger: before the first list nothing is known; what the last start knew must not give way to it.
+        let Some(keeping) = self.keeping.as_mut().filter(|_| self.listed) else { return };
+        let (hubs, controller) = (&self.hubs, &self.controller);
+        let look = |i: usize| {
+            let hub = hubs.get(i).filter(|h| h.phase != Phase::Gone)?;
+            Some(Kept { hub: hub.identity(), belief: controller.belief(hub.id)? })
+        };
+        let painter = keeping.painter.get_or_insert_default();
+        if let Some(mut gathered) = painter.add(hubs.len(), most, look) {
+            let unnamed = self.memory.iter().flat_map(|m| m.unnamed(now)).cloned();
+            gathered.extend(unnamed.take(HUBS_MOST.saturating_sub(hubs.len())));
+            let picture = Picture { at: now, hold: controller.hold(), hubs: gathered };
+            keeping.painter = None;
+            keeping.next = now + keeping.every;
+            keeping.pictures.send_replace(Some(Arc::new(picture)));
+        }
+    }
+
+    /// What an earlier start knew of the hubs that are named for the first time.
+    fn recall(&mut self, now: Micros) {
+        let Some(memory) = &mut self.memory else { return };
+        let fresh = self.hubs.iter_mut().filter(|h| h.fresh);
+        let mut recalled = Vec::new();
+        for hub in fresh {
+            hub.fresh = false;
+            recalled.extend(memory.recall(&hub.identity(), now).map(|belief| (hub.id, belief)));
+        }
+        let hold = memory.hold(now);
+        self.tell(now, Event::Recalled(hold, recalled));
+    }
+
     /// Hands out what is due.
     pub fn tick(&mut self, now: Micros) {
         for due in self.wheel.advance(now) {
@@ -276,6 +345,9 @@
             self.forget_oldest();
         }
         let heard = self.hubs.iter().filter(|h| h.phase == Phase::Up && !h.fixed).all(|h| h.heard);
+        if self.keeping.as_ref().is_some_and(|k| k.next <= now || k.painter.is_some()) {
+            self.paint(now, PAINTED_EACH);
+        }
         let was = *self.status.borrow();
         let settled = was.settled || self.listed && heard || self.started + READY_AFTER <= now;
         let status = Status { settled, stopping: self.stopping, unanswered: self.unanswered };
@@ -550,7 +622,7 @@
     /// Where that hub's state is. Danger: hubs are replaced for as long as the program runs; the state of
     /// the one that has been gone longest makes room for a new one, which gets an id of its own.
     fn hub(&mut self, hub: &Hub) -> Option<usize> {
-        if let Some(index) = self.hubs.iter().position(|h| h.uid == hub.uid) {
+        if let Some(index) = self.hubs.iter().position(|h| *h.uid == *hub.uid) {
             return Some(index);
         }
         let gone: Vec<usize> = (0..self.hubs.len()).filter(|i| self.hubs[*i].forgettable()).collect();
@@ -562,8 +634,8 @@
         self.last_hub += 1;
         let state = HubState {
             id: ServerId(self.last_hub),
-            uid: hub.uid.clone(),
-            endpoint: hub.endpoint.clone(),
+            uid: hub.uid.as_str().into(),
+            endpoint: hub.endpoint.as_str().into(),
             place: hub.place,
             born: hub.born,
             phase: Phase::Up,
@@ -571,6 +643,7 @@
             link: None,
             heard: false,
             fixed: false,
+            fresh: true,
         };
         match room {
             Some(index) => self.hubs[index] = state,
@@ -582,7 +655,7 @@
     fn list(&mut self, now: Micros, all: bool, hubs: Vec<Hub>) {
         let mut absent: Vec<usize> = Vec::new();
         if all {
-            let named = |h: &HubState| h.fixed || hubs.iter().any(|n| n.uid == h.uid);
+            let named = |h: &HubState| h.fixed || hubs.iter().any(|n| *n.uid == *h.uid);
             absent = (0..self.hubs.len()).filter(|i| !named(&self.hubs[*i])).collect();
         }
         for hub in &hubs {
@@ -590,9 +663,9 @@
             let state = &mut self.hubs[index];
             // A start or an address that differs is another process: what the old one had is cut.
             let other = state.born != hub.born && hub.phase == Phase::Up
-                || !hub.endpoint.is_empty() && state.endpoint != hub.endpoint;
+                || !hub.endpoint.is_empty() && *state.endpoint != *hub.endpoint;
             if !hub.endpoint.is_empty() {
-                state.endpoint = hub.endpoint.clone();
+                state.endpoint = hub.endpoint.as_str().into();
             }
             state.place = hub.place;
             state.born = hub.born.or(state.born.filter(|_| hub.phase != Phase::Up));
@@ -630,11 +703,14 @@
             _ if all => (ListKind::Full, self.hubs.iter().map(entry).collect()),
             false => (ListKind::Saved, self.hubs.iter().map(entry).collect()),
             true => {
-                let named = |h: &&HubState| hubs.iter().any(|n| n.uid == h.uid);
+                let named = |h: &&HubState| hubs.iter().any(|n| *n.uid == *h.uid);
                 (ListKind::Changes, self.hubs.iter().filter(named).map(entry).collect())
             }
         };
         self.listed |= all;
+        if self.memory.is_some() {
+            self.recall(now);
+        }
         self.tell(now, Event::List(kind, entries));
     }
 
@@ -747,7 +823,7 @@
     fn to_front(&self, front: FrontId, message: ToFront) {
         let Some(sender) = self.fronts.get(front.0) else { return };
         if let Err(mpsc::error::TrySendError::Full(lost)) = sender.try_send(message) {
-            eprintln!("core: front {} takes nothing, lost {lost:?}", front.0);
+            tracing::error!(front = front.0, "the front takes nothing, lost {lost:?}");
         }
     }
 
@@ -755,7 +831,7 @@
         let hub = self.links.get(&link).and_then(|i| self.hubs.get(*i));
         let Some((_, sender)) = hub.and_then(|h| h.link.as_ref()) else { return };
         if let Err(mpsc::error::TrySendError::Full(lost)) = sender.try_send(message) {
-            eprintln!("core: hub {} takes nothing, lost {lost:?}", link.0);
+            tracing::error!(link = link.0, "the hub's link takes nothing, lost {lost:?}");
         }
     }
 }
--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -199,4 +199,6 @@
     Stop(Micros),
     /// News of the list: the whole of it, or changes.
     List(bool, Vec<Hub>),
+    /// The program is about to end: what is believed is to be handed out now.
+    Keep,
 }
--- a/src/iax2/hub.rs
+++ b/src/iax2/hub.rs
@@ -317,7 +317,7 @@
         match open(local, hub).await {
             Ok(socket) => break socket,
             Err(error) => {
-                eprintln!("IAX2 hub {hub}: {error}");
+                tracing::warn!(%hub, "IAX2 hub: {error}");
                 tokio::time::sleep(REOPEN).await;
             }
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,8 @@
 //! - [`interface`] and [`Controller`]: the decision module, used by both programs.
 //! - [`core`]: owns the module, the call table and the timers, and knows no wire.
 //! - [`net`] and [`iax2`]: the sockets' sides, for the platform's protocol and for IAX2.
+//! - [`learning`], [`state`] and [`store`]: what outlives the process, the task that keeps it, and its files.
+//! - [`cli`] and [`telemetry`]: the command line and the logs.
 //! - [`config`]: the one place where configuration is read, checked and given defaults.
 //! - [`wire`]: the simulator's wire, for the adapter.
 //!
@@ -40,13 +42,17 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod cli;
 pub mod config;
 pub mod core;
 pub mod iax2;
 pub mod interface;
+pub mod learning;
 mod logic;
 pub mod net;
+pub mod state;
 pub mod store;
+pub mod telemetry;
 pub mod wire;
 
 pub use logic::Controller;
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,11 +2,14 @@
 
 #![forbid(unsafe_code)]
 
-use petreldock::config::{Config, ConfigError, Iax2Hub};
+use clap::Parser;
+use petreldock::cli::{self, Arguments, Command};
+use petreldock::config::{Config, ConfigError, Iax2Hub, State};
 use petreldock::core::{self, Clock, Core, FrontId, Hub, Input, Status};
 use petreldock::iax2;
 use petreldock::interface::{Micros, Phase};
 use petreldock::net::{feed, front, hub};
+use petreldock::{state, telemetry};
 use std::io;
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -23,22 +26,28 @@
 const LAST: Duration = Duration::from_millis(3_200);
 /// ... and so long is left for the last answers to be written.
 const FLUSH: Duration = Duration::from_millis(100);
+/// What was learnt is waited for no longer at the end: SIGKILL is near.
+const HAND_OVER: Duration = Duration::from_millis(250);
 
 fn configured() -> Result<Config, ConfigError> {
     Config::from_environment(|name| std::env::var(name).ok())
 }
 
 fn main() -> ExitCode {
-    let config = match configured() {
-        Ok(config) => config,
-        Err(error) => {
-            eprintln!("petreldock: {error}");
-            return ExitCode::FAILURE;
-        }
+    let done = match Arguments::parse().command.unwrap_or(Command::Serve) {
+        Command::Serve => serve(),
+        Command::Check => configured().map_err(|e| e.to_string()).map(|config| {
+            print!("{}", cli::check(&config));
+            true
+        }),
+        Command::State(command) => cli::on_state(&command, Clock::system().now()).map(|printed| {
+            print!("{}", printed.text);
+            printed.good
+        }),
     };
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    match runtime.and_then(|runtime| runtime.block_on(run(config))) {
-        Ok(()) => ExitCode::SUCCESS,
+    match done {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
         Err(error) => {
             eprintln!("petreldock: {error}");
             ExitCode::FAILURE
@@ -46,6 +55,17 @@
     }
 }
 
+fn serve() -> Result<bool, String> {
+    let config = configured().map_err(|e| e.to_string())?;
+    telemetry::start(&config.operator.log);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| e.to_string())?;
+    let ended = runtime.block_on(run(config));
+    // Danger: a write that hangs on a disk would keep the program from ending.
+    runtime.shutdown_background();
+    ended.map(|()| true).map_err(|e| e.to_string())
+}
+
 async fn run(config: Config) -> io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
@@ -77,10 +97,14 @@
         let socket = UdpSocket::bind(listen).await.map_err(named)?;
         let front = iax2::front::Front::new(FrontId(1), &operator.iax2_calls);
         tokio::spawn(iax2::front::run(front, socket, clock, inputs.clone(), to_front));
-        eprintln!("petreldock {}: serving IAX2 at {listen}", config.name);
+        tracing::info!(name = config.name, "serving IAX2 at {listen}");
     }
     let mut core = Core::new(&config, fronts, connect, status, clock.now())
         .map_err(|e| io::Error::new(io::ErrorKind::InvalidInput, format!("settings: {e}")))?;
+    let keeping = match &operator.state {
+        Some(state) => Some(keep(state, &mut core, clock).await?),
+        None => None,
+    };
     let mut seq = 0;
     let known = feed::inputs(config.known.clone(), &mut seq);
     known.into_iter().for_each(|input| core.handle(clock.now(), input));
@@ -98,10 +122,13 @@
     tokio::spawn(reload(hangup, change_log));
     let sockets = config.limits.sockets;
     let serving = front::run(FrontId(0), listener, sockets, clock, inputs.clone(), to_front, watched.clone());
-    eprintln!("petreldock {}: serving at {}", config.name, config.listen);
+    tracing::info!(name = config.name, "serving at {}", config.listen);
     let stop = async {
         tokio::select! { _ = terminate.recv() => {}, _ = interrupt.recv() => {} }
-        wind_down(inputs, clock, watched).await;
+        wind_down(inputs.clone(), clock, watched).await;
+        if let Some(saved) = keeping {
+            hand_over(inputs, clock, saved).await;
+        }
     };
     tokio::select! {
         ended = serving => ended,
@@ -109,6 +136,36 @@
     }
 }
 
+/// Recalls what was kept, and has what is learnt from now on kept.
+async fn keep(state: &State, core: &mut Core, clock: Clock) -> io::Result<watch::Receiver<Micros>> {
+    let kept = state::load(state, clock.now()).await;
+    let mut kept = kept.map_err(|e| {
+        io::Error::new(
+            io::ErrorKind::InvalidInput,
+            format!("state.folder: '{}': {e}", state.folder.display()),
+        )
+    })?;
+    if let Some(memory) = kept.memory.take() {
+        core.recollect(memory);
+    }
+    let (pictures, latest) = watch::channel(None);
+    core.keep(pictures, state.interval, clock.now());
+    let (saved, last) = watch::channel(Micros(0));
+    tokio::spawn(state::run(kept, latest, saved));
+    Ok(last)
+}
+
+/// Has what is known at a planned end written, within a bounded time.
+async fn hand_over(inputs: mpsc::Sender<Input>, clock: Clock, mut saved: watch::Receiver<Micros>) {
+    let from = clock.now();
+    if inputs.send(Input::Keep).await.is_ok() {
+        let written = saved.wait_for(|at| *at >= from);
+        if tokio::time::timeout(HAND_OVER, written).await.is_err() {
+            tracing::warn!("state: the last of what was learnt is not written in time");
+        }
+    }
+}
+
 /// Takes up the change log's address at each SIGHUP; all else of the configuration is read at the start
 /// alone, as open calls rest on it. A configuration that cannot be used changes nothing.
 async fn reload(mut hangup: Signal, change_log: watch::Sender<Option<SocketAddr>>) {
@@ -122,16 +179,16 @@
                 });
                 let address = config.change_log.map_or("nowhere".into(), |a| a.to_string());
                 let what = if moved { "now" } else { "still" };
-                eprintln!("petreldock: reloaded: change log {what} at {address}");
+                tracing::info!("reloaded: change log {what} at {address}");
             }
-            Err(error) => eprintln!("petreldock: not reloaded: {error}"),
+            Err(error) => tracing::warn!("not reloaded: {error}"),
         }
     }
 }
 
 /// Answers all that is open while callers still come, and ends as soon as nothing is owed.
 async fn wind_down(inputs: mpsc::Sender<Input>, clock: Clock, mut status: watch::Receiver<Status>) {
-    eprintln!("petreldock: ending");
+    tracing::info!("ending");
     let start = Instant::now();
     let by = clock.now() + Micros(LAST.as_micros() as u64);
     let _ = inputs.send(Input::Stop(by)).await;
--- a/src/net/feed.rs
+++ b/src/net/feed.rs
@@ -80,7 +80,7 @@
                 }
             }
             Err(error) => {
-                eprintln!("change log: {error}; asking again after {seq}");
+                tracing::warn!(seq, "change log: {error}; asking again");
                 failures += 1;
             }
         }
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -182,7 +182,7 @@
             }
             // Danger: with no descriptor left, accept fails at once and would take the whole core.
             Err(error) => {
-                eprintln!("front: cannot accept: {error}");
+                tracing::warn!("front: cannot accept: {error}");
                 front.board().shed(SHED);
                 tokio::time::sleep(SHORT).await;
             }
--- a/tests/common/sim_disk.rs
+++ b/tests/common/sim_disk.rs
@@ -87,7 +87,8 @@
         let most = rng.next_u32() as usize % (self.changes.len() + 1);
         for (nth, change) in self.changes.iter().enumerate() {
             // In order up to a point, or any of them.
-            if if seed % 2 == 0 { nth < most } else { rng.next_u32() % 2 == 0 } {
+            let kept = if seed & 1 == 0 { nth < most } else { rng.next_u32() & 1 == 0 };
+            if kept {
                 apply(&mut disk.names, change);
             }
         }
--- a/tests/store.rs
+++ b/tests/store.rs
@@ -97,7 +97,8 @@
     let flipped = |at: usize| move |b: &mut Vec<u8>| b[at] ^= 0x10;
     let later = encode(Header { kind: KIND, version: 9, generation: 5 }, &payload(9));
     let other = encode(Header { kind: 5, version: 1, generation: 5 }, &payload(9));
-    let cases: Vec<(Box<dyn FnOnce(&mut Vec<u8>)>, Fault)> = vec![
+    type Damage = Box<dyn FnOnce(&mut Vec<u8>)>;
+    let cases: Vec<(Damage, Fault)> = vec![
         (Box::new(flipped(0)), Fault::Foreign),
         (Box::new(flipped(20)), Fault::Header),
         (Box::new(flipped(HEADER + 50)), Fault::Payload),
