Add the lab with its experiment restart: what a restart costs, with and without learning

Stand-in hubs with one-line processors, qps reports, cold starts and drains; open-loop SIP callers; the real program is killed and started at a jump in calls.

--- /dev/null
+++ b/lab/src/main.rs
@@ -0,0 +1,173 @@
+//! Experiments with the started program. Each prints what it measured beside its bounds and ends with an exit
+//! code other than nought when one is broken. Everything stays on loopback, bounded in count and time.
+
+mod caller;
+mod hub;
+mod program;
+mod restart;
+
+use clap::{Args, Parser, Subcommand};
+use hdrhistogram::Histogram;
+use miniserde::{json, Serialize};
+use restart::{Figures, Plan, Variant, VARIANTS};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// Experiments with the started petreldock.
+#[derive(Debug, Parser)]
+#[command(name = "petreldock-lab")]
+struct Arguments {
+    #[command(subcommand)]
+    experiment: Experiment,
+}
+
+#[derive(Debug, Subcommand)]
+enum Experiment {
+    /// What a restart at a round start costs, with and without what was learnt
+    Restart(Restart),
+}
+
+#[derive(Debug, Args)]
+struct Restart {
+    /// The first seed
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// So many seeds from there on
+    #[arg(long, default_value_t = 5)]
+    seeds: u64,
+    /// Runs side by side
+    #[arg(long, default_value_t = 5)]
+    jobs: usize,
+    /// Controllers; the first is restarted
+    #[arg(long, default_value_t = 3)]
+    controllers: usize,
+    /// Calls a second, all together
+    #[arg(long, default_value_t = 60.0)]
+    rate: f64,
+    /// The jump, in times the rate
+    #[arg(long, default_value_t = 1.4)]
+    jump: f64,
+    /// Calls a second that a hub carries
+    #[arg(long, default_value_t = 25.0)]
+    capacity: f64,
+    /// How many times slower the slow hub is
+    #[arg(long, default_value_t = 2.5)]
+    slow: f64,
+    /// The program
+    #[arg(long, default_value = "target/release/petreldock")]
+    binary: PathBuf,
+    /// Write the figures to this file, as JSON
+    #[arg(long)]
+    json: Option<PathBuf>,
+}
+
+#[derive(Clone, Debug, Serialize)]
+struct Run {
+    seed: u64,
+    variant: String,
+    figures: Figures,
+}
+
+fn main() -> ExitCode {
+    let Experiment::Restart(asked) = Arguments::parse().experiment;
+    match restart(&asked) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("petreldock-lab: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Plays all variants of all seeds, a few side by side, each on a thread of its own.
+fn plays(asked: &Restart) -> std::io::Result<Vec<(u64, Variant, Figures)>> {
+    let plan = Plan {
+        binary: asked.binary.clone(),
+        controllers: asked.controllers.max(1),
+        rate: asked.rate,
+        jump: asked.jump,
+        capacity: asked.capacity,
+        slow: asked.slow,
+    };
+    let seeds = asked.seed..asked.seed + asked.seeds;
+    let all: Vec<(u64, Variant)> = seeds.flat_map(|s| VARIANTS.map(|v| (s, v))).collect();
+    let mut figures = Vec::new();
+    for batch in all.chunks(asked.jobs.max(1)) {
+        let threads: Vec<_> = batch
+            .iter()
+            .map(|&(seed, variant)| {
+                let plan = plan.clone();
+                std::thread::spawn(move || {
+                    let name = format!("petreldock-lab-{}-{seed}-{variant:?}", std::process::id());
+                    let folder = std::env::temp_dir().join(name);
+                    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+                    let local = tokio::task::LocalSet::new();
+                    let played = local.block_on(&runtime, restart::play(&plan, variant, seed, &folder));
+                    let _ = std::fs::remove_dir_all(&folder);
+                    played
+                })
+            })
+            .collect();
+        for (thread, &(seed, variant)) in threads.into_iter().zip(batch) {
+            let played = thread.join().map_err(|_| std::io::Error::other("a run panicked"))??;
+            figures.push((seed, variant, played));
+        }
+    }
+    Ok(figures)
+}
+
+/// Least, mean and greatest of some shares, in thousandths.
+fn spread(shares: impl Iterator<Item = f64>) -> (f64, f64, f64) {
+    let mut histogram = Histogram::<u64>::new(4).expect("four digits are allowed");
+    for share in shares {
+        histogram.saturating_record((share * 10_000.0) as u64);
+    }
+    (histogram.min() as f64 / 1e4, histogram.mean() / 1e4, histogram.max() as f64 / 1e4)
+}
+
+fn restart(asked: &Restart) -> std::io::Result<bool> {
+    let runs = plays(asked)?;
+    println!(
+        "share of the worth in time; least, mean, greatest of {} seeds from {}",
+        asked.seeds, asked.seed
+    );
+    println!("{:<16}{:>24}{:>24}{:>24}", "", "first 5 s", "first 10 s", "10 s, all controllers");
+    let mut means = Vec::new();
+    for variant in VARIANTS {
+        let of = |figure: fn(&Figures) -> f64| {
+            spread(runs.iter().filter(|r| r.1 == variant).map(|r| figure(&r.2)))
+        };
+        let columns = [of(|f| f.first_5), of(|f| f.first_10), of(|f| f.all_10)];
+        let shown = columns.map(|(l, m, g)| format!("{l:.3} {m:.3} {g:.3}"));
+        println!("{:<16}{:>24}{:>24}{:>24}", format!("{variant:?}"), shown[0], shown[1], shown[2]);
+        means.push([columns[0].1, columns[1].1]);
+    }
+    let mut good = true;
+    for (nth, span) in ["5 s", "10 s"].iter().enumerate() {
+        let cost = means[0][nth] - means[1][nth];
+        let won = means[2][nth] - means[1][nth];
+        let lost = means[3][nth] - means[4][nth];
+        println!(
+            "first {span}: a restart costs {cost:.3}; won back {won:.3} ({:.0} %, wanted 50); wrong learning costs \
+             {lost:.3} ({:.0} %, at most 10)",
+            100.0 * won / cost.max(1e-3),
+            100.0 * lost / cost.max(1e-3)
+        );
+        good &= won >= 0.5 * cost && lost <= 0.1 * cost;
+    }
+    for (seed, variant, figures) in &runs {
+        for broken in &figures.broken {
+            println!("seed {seed}, {variant:?}: {broken}");
+            good = false;
+        }
+    }
+    if let Some(file) = &asked.json {
+        let runs: Vec<Run> = runs
+            .into_iter()
+            .map(|(seed, variant, figures)| Run { seed, variant: format!("{variant:?}"), figures })
+            .collect();
+        std::fs::write(file, json::to_string(&runs))?;
+    }
+    Ok(good)
+}
