--- a/lab/src/hub.rs
+++ b/lab/src/hub.rs
@@ -169,7 +169,9 @@
         let mut state = self.state.borrow_mut();
         state.alive = false;
         state.links.clear();
-        state.calls.clear();
+        for (call, known) in std::mem::take(&mut state.calls) {
+            state.note(call, if known.stands { Seen::Ended } else { Seen::GivenUp });
+        }
     }
 }
 
--- a/lab/src/program.rs
+++ b/lab/src/program.rs
@@ -63,10 +63,13 @@
 }
 
 impl Program {
-    pub fn new(binary: &Path, folder: &Path, index: usize) -> io::Result<Program> {
+    /// The `index`th of a run; `run` sets its addresses apart from those of other runs, so that nobody takes
+    /// them while it is down.
+    pub fn new(binary: &Path, folder: &Path, run: u16, index: usize) -> io::Result<Program> {
         let folder = folder.join(format!("n{index}"));
         std::fs::create_dir_all(&folder)?;
-        let address = std::net::TcpListener::bind("127.0.0.1:0")?.local_addr()?;
+        let [high, low] = run.to_be_bytes();
+        let address = SocketAddr::from(([127, 20 + high % 200, low, 1 + index as u8 % 250], 5060));
         Ok(Program { binary: binary.into(), folder, address, child: None, index, starts: 0 })
     }
 
--- a/lab/src/restart.rs
+++ b/lab/src/restart.rs
@@ -70,6 +70,10 @@
     pub first_10: f64,
     /// ... and of all controllers' calls in the first 10 s.
     pub all_10: f64,
+    /// ... of the calls of each of the first ten seconds, at the one that was restarted.
+    pub by_second: Vec<f64>,
+    /// Set-ups that each hub got from all in the first 5 s.
+    pub sent_5: Vec<usize>,
     /// Rules broken, in words.
     pub broken: Vec<String>,
 }
@@ -93,9 +97,10 @@
     let mut site = Site { balancers: plan.controllers, places: PLACES, change_log, known: log.since(0) };
     let keeps = matches!(variant, Variant::With | Variant::WrongWith);
     let state = keeps.then_some(r#","intervalMs":1000"#);
+    let run = (seed * 8 + variant as u64) as u16;
     let mut programs = Vec::new();
     for index in 0..plan.controllers {
-        let mut program = Program::new(&plan.binary, folder, index)?;
+        let mut program = Program::new(&plan.binary, folder, run, index)?;
         program.start(&site, seed, state).await?;
         programs.push(program);
     }
@@ -145,17 +150,24 @@
         callers[0].wishes.borrow().clone(),
         callers.iter().flat_map(|c| c.wishes.borrow().clone()).collect(),
     );
-    let share = |wishes: &[Wish], span: f64| {
-        let in_span = |w: &&Wish| w.intended >= at(COUNTED) && w.intended < at(COUNTED + span);
+    let share = |wishes: &[Wish], from: f64, span: f64| {
+        let (from, to) = (at(COUNTED + from), at(COUNTED + from + span));
+        let in_span = |w: &&Wish| w.intended >= from && w.intended < to;
         let worth: f64 = wishes.iter().filter(in_span).map(Wish::worth).sum();
         let served: f64 = wishes.iter().filter(in_span).filter(|w| w.in_time()).map(Wish::worth).sum();
         served / worth.max(1.0)
     };
     hubs.push(cold);
+    let sent = |hub: &Hub| {
+        let in_span = |at_: Instant| at_ >= at(COUNTED) && at_ < at(COUNTED + 5.0);
+        hub.state.borrow().record.iter().filter(|r| r.2 == Seen::SetUp && in_span(r.0)).count()
+    };
     Ok(Figures {
-        first_5: share(&own, 5.0),
-        first_10: share(&own, 10.0),
-        all_10: share(&all, 10.0),
+        first_5: share(&own, 0.0, 5.0),
+        first_10: share(&own, 0.0, 10.0),
+        all_10: share(&all, 0.0, 10.0),
+        by_second: (0..10).map(|s| share(&own, f64::from(s), 1.0)).collect(),
+        sent_5: hubs.iter().map(sent).collect(),
         broken: audit(&hubs, &all, at(DRAIN)),
     })
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -261,10 +261,14 @@
 /// not known, but for `weight` and `pass`, where 1 does.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Belief {
+    /// When it was last heard of; what follows is as old.
+    pub heard: Micros,
     /// The most calls a second it was seen to carry, warm, for all gateways.
     pub carried: f64,
     /// Set-ups a second that it is held to carry now.
     pub carries: f64,
+    /// Set-ups a second that it last said it can take.
+    pub can_take: f64,
     /// The wait at its processor.
     pub wait: Micros,
     /// Smoothed delay of own set-ups.
@@ -287,8 +291,10 @@
     fn default() -> Belief {
         let none = Micros(0);
         Belief {
+            heard: none,
             carried: 0.0,
             carries: 0.0,
+            can_take: 0.0,
             wait: none,
             delay: none,
             weight: 1.0,
--- a/src/learning/mod.rs
+++ b/src/learning/mod.rs
@@ -109,6 +109,7 @@
     let part = |p: f64| (0.0..=1.0).contains(&p);
     rate(belief.carried)
         && rate(belief.carries)
+        && rate(belief.can_take)
         && part(belief.weight)
         && part(belief.pass)
         && part(belief.share)
@@ -123,7 +124,10 @@
     let while_sure = |figure: f64, sure: f64| if sure >= COUNTS_LEAST { figure } else { 0.0 };
     Belief {
         carried: while_sure(belief.carried, counts(age, by.capacity)),
+        heard: belief.heard,
         carries: while_sure(belief.carries, rate),
+        // Less the older it is: a cold processor is brought what it said that it can take.
+        can_take: while_sure(belief.can_take * rate, rate),
         wait: belief.wait.scale(counts(age, by.wait)),
         delay: belief.delay.scale(load),
         weight: towards_one(belief.weight),
@@ -150,7 +154,8 @@
 pub struct Taken {
     /// Hubs that may be recalled.
     pub hubs: usize,
-    /// Hubs that were dropped: absurd figures, names that are too long or come twice, more than may be known.
+    /// Hubs that were dropped: absurd figures, heard of in the future, names that are too long or come twice,
+    /// more than may be known.
     pub dropped: usize,
     /// All were dropped, because the picture claims to be from the future,
     pub future: bool,
@@ -171,7 +176,8 @@
                 for kept in picture.hubs {
                     let known = memory.hubs.len() < HUBS_MOST && !memory.hubs.contains_key(&kept.hub.uid);
                     let short = kept.hub.uid.len() <= NAME_MOST && kept.hub.endpoint.len() <= NAME_MOST;
-                    if known && short && sane(&kept.belief) {
+                    let past = age(kept.belief.heard, now).is_some();
+                    if known && short && past && sane(&kept.belief) {
                         memory.hubs.insert(kept.hub.uid.clone(), kept);
                     }
                 }
@@ -194,7 +200,8 @@
     /// while the program runs; with another address or place it is another machine, of which nothing is known.
     pub fn recall(&mut self, hub: &Identity, now: Micros) -> Option<Belief> {
         let kept = self.hubs.remove(&hub.uid)?;
-        let age = age(self.at, now).filter(|age| *age <= self.ageing.greatest)?;
+        // Danger: what was itself recalled, and not heard of since, must not grow young by being kept again.
+        let age = age(kept.belief.heard, now).filter(|age| *age <= self.ageing.greatest)?;
         let belief = aged(&kept.belief, age, now, &self.ageing);
         if kept.hub.endpoint != hub.endpoint || kept.hub.place != hub.place {
             return None;
@@ -208,8 +215,8 @@
     /// What no list has named yet is kept on while it is not too old: a list may come late, and a start that
     /// is cut short before it must not lose what the one before knew.
     pub fn unnamed(&self, now: Micros) -> impl Iterator<Item = &Kept> {
-        let young = age(self.at, now).is_some_and(|age| age <= self.ageing.greatest);
-        self.hubs.values().filter(move |_| young)
+        let young = move |k: &&Kept| age(k.belief.heard, now).is_some_and(|a| a <= self.ageing.greatest);
+        self.hubs.values().filter(young)
     }
 }
 
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -368,10 +368,11 @@
     /// What is believed of a server.
     pub fn belief(&self, id: ServerId) -> Option<Belief> {
         let s = self.servers.get(&id)?;
-        let &Server { carried, carries, delay, weight, pass, cold_until, .. } = s;
-        let (wait, silent) = (s.expected_wait(self.now), s.trial_at.is_some());
+        let &Server { carried, carries, can_take, delay, weight, pass, cold_until, .. } = s;
+        let (heard, wait, silent) = (s.answered_at, s.expected_wait(self.now), s.trial_at.is_some());
         let (share, share_until) = (s.share.now(self.now), s.share.until);
-        Some(Belief { carried, carries, wait, delay, weight, pass, share, share_until, silent, cold_until })
+        let rates = Belief { carried, carries, can_take, weight, pass, ..Belief::default() };
+        Some(Belief { heard, wait, delay, share, share_until, silent, cold_until, ..rates })
     }
 
     // ---- the list ----
@@ -886,12 +887,14 @@
     }
 
     /// A prior from before the start. Danger: what it holds back would show that it is wrong. It passes a
-    /// part at once, and the first rate told outweighs it. It lets no more through to a cold server.
+    /// part at once, and the first rate told outweighs it. A cold server takes none but what this process said
+    /// that it can take: it was colder then.
     fn recall(&mut self, belief: &Belief, now: Micros) {
         self.cold_until = self.cold_until.max(belief.cold_until);
-        (self.carried, self.delay, self.took) = (belief.carried, belief.delay, belief.delay);
-        (self.wait, self.wait_at) = (belief.wait, Some(now));
+        (self.carried, self.can_take, self.took) = (belief.carried, belief.can_take, belief.delay);
+        (self.wait, self.delay, self.answered_at) = (belief.wait, belief.delay, belief.heard);
         (self.weight, self.pass) = (belief.weight.max(WEIGHT_LEAST), belief.pass.max(PASS_LEAST));
+        (self.wait_at, self.passed) = (Some(now), self.pass);
         (self.share.part, self.share.until) = (belief.share, belief.share_until.min(now + SHARE_PERIOD));
         self.trial_at = belief.silent.then_some(now);
         if now >= self.cold_until && belief.carries > 0.0 {
@@ -943,7 +946,7 @@
         let Some((before, at)) = self.taken.filter(|(before, _)| *before > 0.0) else {
             self.flow = used / env.hold;
             self.carries = if self.prior { self.carries } else { size / env.hold };
-            self.spare = (free / env.hold).max(self.carries * SPARE_LEAST);
+            self.spare = (self.carries - self.flow).max(self.carries * SPARE_LEAST);
             self.taken = Some((used, now));
             return;
         };
