--- a/src/logic.rs
+++ b/src/logic.rs
@@ -887,8 +887,8 @@
     }
 
     /// A prior from before the start. Danger: what it holds back would show that it is wrong. It passes a
-    /// part at once, and the first rate told outweighs it. A cold server takes none but what this process said
-    /// that it can take: it was colder then.
+    /// part at once, and the first rate told outweighs it. A cold server is brought no more than what this
+    /// process said itself when it was colder.
     fn recall(&mut self, belief: &Belief, now: Micros) {
         self.cold_until = self.cold_until.max(belief.cold_until);
         (self.carried, self.can_take, self.took) = (belief.carried, belief.can_take, belief.delay);
