--- a/src/learning/mod.rs
+++ b/src/learning/mod.rs
@@ -195,21 +195,14 @@
         Some(hold).filter(|h| sure && *h > 0.0 && *h <= SPAN_MOST.secs())
     }
 
-    /// What was known of a hub that a list names for the first time since the start, once. The same process
-    /// gets it all. Another start at the same address keeps what its machine was seen to carry, as it does
-    /// while the program runs; with another address or place it is another machine, of which nothing is known.
+    /// What was known of a hub that a list names for the first time since the start, once, and for the same
+    /// process alone. Danger: one with another start is cold, and one with another address or place is another
+    /// machine; what theirs could carry would push them over.
     pub fn recall(&mut self, hub: &Identity, now: Micros) -> Option<Belief> {
-        let kept = self.hubs.remove(&hub.uid)?;
+        let kept = self.hubs.remove(&hub.uid).filter(|kept| kept.hub == *hub)?;
         // Danger: what was itself recalled, and not heard of since, must not grow young by being kept again.
         let age = age(kept.belief.heard, now).filter(|age| *age <= self.ageing.greatest)?;
-        let belief = aged(&kept.belief, age, now, &self.ageing);
-        if kept.hub.endpoint != hub.endpoint || kept.hub.place != hub.place {
-            return None;
-        }
-        match kept.hub.born == hub.born {
-            true => Some(belief),
-            false => Some(Belief { carried: belief.carried, ..Belief::default() }),
-        }
+        Some(aged(&kept.belief, age, now, &self.ageing))
     }
 
     /// What no list has named yet is kept on while it is not too old: a list may come late, and a start that
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,4 +1,4 @@
-//! The task that gives [`learning`](crate::learning) its disk: reads at the start, writes while the program
+//! The task that gives [`learning`] its disk: reads at the start, writes while the program
 //! runs, and never lets anyone wait for either.
 //!
 //! Whatever the disk does is done on a thread of its own. Pictures come through a watch, so that the latest
--- a/tests/common/peers.rs
+++ b/tests/common/peers.rs
@@ -96,10 +96,17 @@
         let text = std::fs::read_to_string(&file).expect("read");
         std::fs::write(file, change(text)).expect("written");
         self.signal("-HUP");
-        until(logged, || {
-            let log = std::fs::read_to_string(self.folder.join("log")).expect("read");
-            log.contains(logged).then_some(())
-        });
+        until(logged, || self.logged(logged).then_some(()));
+    }
+
+    /// All that it logged so far.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self.folder.join("log")).expect("read")
+    }
+
+    /// Whether it logged that.
+    pub fn logged(&self, what: &str) -> bool {
+        self.log().contains(what)
     }
 }
 
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -7,6 +7,7 @@
 use petreldock::config::Config;
 use petreldock::core::*;
 use petreldock::interface::*;
+use petreldock::learning::{Ageing, Identity, Kept, Memory, Picture};
 use petreldock::net::feed;
 use std::sync::{Arc, Mutex};
 use tokio::sync::{mpsc, watch};
@@ -374,3 +375,73 @@
     desk.offer_with(5, 0, &body);
     assert!(desk.said().is_none(), "nor does one that is over");
 }
+
+/// A core with pictures every second, which has heard no list yet, and recalls something if it is given.
+fn keeping(memory: Option<Memory>) -> (Desk, watch::Receiver<Option<Arc<Picture>>>) {
+    let mut desk = Desk::with(|config| config.known.events.clear());
+    let (pictures, latest) = watch::channel(None);
+    desk.core.keep(pictures, Micros(SECOND), Micros(START));
+    if let Some(memory) = memory {
+        desk.core.recollect(memory);
+    }
+    (desk, latest)
+}
+
+fn kept(uid: &str, endpoint: &str, place: i64) -> Kept {
+    let hub = Identity { uid: uid.into(), endpoint: endpoint.into(), place, born: None };
+    let belief = Belief { heard: Micros(START - SECOND), pass: 0.1, carries: 3.0, ..Belief::default() };
+    Kept { hub, belief }
+}
+
+#[test]
+fn pictures_are_handed_out_after_the_first_list_a_few_hubs_at_a_tick() {
+    let (mut desk, mut latest) = keeping(None);
+    desk.pass(5 * SECOND);
+    desk.tell(Input::Keep);
+    assert!(latest.borrow_and_update().is_none(), "nothing is known before the first list");
+    let hubs = (0..1000).map(|n| hub(&format!("h-{n}"), "10.0.0.9:1", n, Phase::Up)).collect();
+    desk.tell(Input::List(true, hubs));
+    desk.pass(20_000);
+    assert!(latest.borrow().is_none(), "not all at one tick");
+    desk.pass(30_000);
+    let picture = latest.borrow_and_update().clone().expect("whole");
+    assert_eq!(picture.hubs.len(), 1000);
+    assert_eq!(picture.hold, 8.0);
+    // The next comes a second after; at the end one comes at once, without what is gone.
+    desk.tell(Input::List(false, vec![hub("h-3", "", 3, Phase::Gone)]));
+    desk.pass(900_000);
+    assert!(!latest.has_changed().expect("open"));
+    desk.tell(Input::Keep);
+    assert_eq!(latest.borrow_and_update().as_ref().expect("at once").hubs.len(), 999);
+}
+
+#[test]
+fn what_was_kept_is_recalled_for_the_same_hub_and_kept_on_for_one_not_named_yet() {
+    let hubs = vec![kept("a", "10.0.0.1:1", 0), kept("b", "10.0.0.7:1", 1), kept("late", "10.0.0.3:1", 2)];
+    let picture = Picture { at: Micros(START - SECOND), hold: 5.0, hubs };
+    let memory = Memory::new(picture, Ageing::default(), Micros(START)).0;
+    let (mut desk, latest) = keeping(Some(memory));
+    // b has another address by now: another machine.
+    desk.tell(Input::List(
+        true,
+        vec![hub("a", "10.0.0.1:1", 0, Phase::Up), hub("b", "10.0.0.2:1", 1, Phase::Up)],
+    ));
+    desk.tell(Input::Keep);
+    let now_kept = |latest: &watch::Receiver<Option<Arc<Picture>>>, uid: &str| {
+        let picture = latest.borrow().clone().expect("handed out");
+        picture.hubs.iter().find(|k| &*k.hub.uid == uid).map(|k| (k.belief.pass, k.belief.heard))
+    };
+    assert_eq!(latest.borrow().as_ref().expect("handed out").hold, 5.0);
+    let (pass, heard) = now_kept(&latest, "a").expect("kept");
+    assert!(pass < 0.2 && heard == Micros(START - SECOND), "{pass} {heard:?}");
+    assert_eq!(now_kept(&latest, "b"), Some((1.0, Micros(0))), "nothing is known of it");
+    assert_eq!(now_kept(&latest, "late"), Some((0.1, Micros(START - SECOND))));
+    // A list that names it later finds it; one that leaves and comes back does not find it again.
+    desk.tell(Input::List(false, vec![hub("late", "10.0.0.3:1", 2, Phase::Up)]));
+    desk.tell(Input::Keep);
+    assert!(now_kept(&latest, "late").expect("kept").0 < 0.2);
+    desk.tell(Input::List(false, vec![hub("late", "10.0.0.3:1", 2, Phase::Gone)]));
+    desk.tell(Input::List(false, vec![hub("late", "10.0.0.3:1", 2, Phase::Up)]));
+    desk.tell(Input::Keep);
+    assert_eq!(now_kept(&latest, "late"), Some((1.0, Micros(0))));
+}
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -692,3 +692,94 @@
     let asked = asked(&without, 1);
     assert_eq!(away(&mut without, asked), Micros(0), "callers that obey nothing are told nothing");
 }
+
+/// A gateway that recalls something of server 0 before its first list.
+fn recalling(servers: u64, belief: Belief) -> Desk {
+    let gateway = Controller::new(settings(), 11, Micros(0)).expect("sane");
+    let mut desk = Desk { gateway, now: 10 * SECOND, next: 0 };
+    desk.tell(Event::Recalled(Some(4.0), vec![(ServerId(0), belief)]));
+    desk.tell(Event::List(ListKind::Saved, (0..servers).map(|s| entry(s, Phase::Up, 0)).collect()));
+    desk
+}
+
+const SLOW: Belief = Belief {
+    heard: Micros(9 * SECOND),
+    carried: 20.0,
+    carries: 5.0,
+    can_take: 5.0,
+    wait: Micros(100_000),
+    delay: Micros(400_000),
+    weight: 0.1,
+    pass: 0.25,
+    share: 0.0,
+    share_until: Micros(0),
+    silent: false,
+    cold_until: Micros(0),
+};
+
+/// How many of 40 calls, not answered yet, go to their first choice.
+fn first_of_40(desk: &mut Desk) -> usize {
+    (0..40).filter(|_| desk.dial(0) == Some(0)).count()
+}
+
+#[test]
+fn what_is_recalled_holds_back_from_the_first_call_on() {
+    let mut desk = recalling(2, SLOW);
+    assert_eq!(desk.gateway.hold(), 4.0);
+    let first = first_of_40(&mut desk);
+    assert!((8..=12).contains(&first), "a quarter is let through: {first}");
+    assert_eq!(first_of_40(&mut Desk::new(2)), 40, "which a start without it does not know");
+    assert_eq!(recalling(2, SLOW).gateway.belief(ServerId(0)).expect("known").heard, SLOW.heard);
+    // The draw of diverted calls goes by the recalled weight.
+    let mut desk = recalling(3, SLOW);
+    desk.report(2, share(1.0));
+    let to_slow = (0..40).filter(|_| desk.dial(2) == Some(0)).count();
+    assert!(to_slow < 10, "{to_slow} of 40 drawn to the slow one");
+}
+
+#[test]
+fn what_is_heard_after_the_start_outweighs_what_was_recalled_at_once() {
+    let mut desk = recalling(2, SLOW);
+    desk.report(0, Report { can_take: Some(40.0), ..Report::default() });
+    assert_eq!(first_of_40(&mut desk), 40, "it is quick again");
+    let mut desk = recalling(2, SLOW);
+    desk.report(0, Report { can_take: Some(5.2), ..Report::default() });
+    assert!(first_of_40(&mut desk) < 20, "it is as slow as it was");
+    // One that was taken for dead gets one call, and all once that is answered.
+    let mut desk = recalling(2, Belief { silent: true, ..Belief::default() });
+    assert_eq!([desk.dial(0), desk.dial(0), desk.dial(0)], [Some(0), Some(1), Some(1)]);
+    desk.tell(Event::Stands(CallId(1), ServerId(0), 0, Micros(40_000)));
+    assert_eq!(desk.dial(0), Some(0));
+}
+
+#[test]
+fn a_recalled_belief_brings_a_cold_server_no_more_than_a_told_one() {
+    let lines = |size| Report { free: Some(size - 20.0), size: Some(size), ..Report::default() };
+    let take = |rate| Report { can_take: Some(rate), ..lines(100.0) };
+    let sends = |recalled: Option<Belief>, told: Option<f64>| {
+        let gateway = Controller::new(settings(), 11, Micros(0)).expect("sane");
+        let mut desk = Desk { gateway, now: 10 * SECOND, next: 0 };
+        let recalled = recalled.map(|b| (ServerId(0), b)).into_iter().collect();
+        desk.tell(Event::Recalled(None, recalled));
+        let born = 9 * SECOND;
+        desk.tell(Event::List(ListKind::Saved, vec![entry(0, Phase::Up, born), entry(1, Phase::Up, 0)]));
+        desk.report(1, lines(100.0));
+        desk.report(0, told.map_or(lines(100.0), take));
+        (0..200)
+            .filter(|_| {
+                desk.now += 5_000;
+                desk.dial_and_stand(0) == Some(0)
+            })
+            .count()
+    };
+    let known = |can_take| Belief { carries: 1e6, can_take, pass: 1.0, weight: 1.0, ..Belief::default() };
+    let without = sends(None, None);
+    assert_eq!(sends(Some(known(0.0)), None), without, "a rate that it is held to carry counts for nothing");
+    for rate in [1.0, 2.0, 5.0, 1e6] {
+        let (recalled, told) = (sends(Some(known(rate)), None), sends(None, Some(rate)));
+        assert!(recalled <= told, "{rate}: {recalled} sent where {told} are when it says so now");
+    }
+    // Taken for cold before the restart, it is taken for cold after it.
+    let cold = Belief { cold_until: Micros(20 * SECOND), ..Belief::default() };
+    assert!(recalling(1, cold).reach_first(0, 200) < 60);
+}
