--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -2,6 +2,7 @@
 //! code other than nought when one is broken. Everything stays on loopback, bounded in count and time.
 
 mod caller;
+mod cost;
 mod hub;
 mod program;
 mod restart;
@@ -10,7 +11,8 @@
 use hdrhistogram::Histogram;
 use miniserde::{json, Serialize};
 use restart::{Figures, Plan, Variant, VARIANTS};
-use std::path::PathBuf;
+use std::fmt::Debug;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 /// Experiments with the started petreldock.
@@ -25,6 +27,21 @@
 enum Experiment {
     /// What a restart at a round start costs, with and without what was learnt
     Restart(Restart),
+    /// What keeping what is learnt costs a call, on and off side by side
+    Cost(Cost),
+}
+
+#[derive(Debug, Args)]
+struct Cost {
+    /// The first seed
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// So many seeds from there on, side by side
+    #[arg(long, default_value_t = 3)]
+    seeds: u64,
+    /// The program
+    #[arg(long, default_value = "target/release/petreldock")]
+    binary: PathBuf,
 }
 
 #[derive(Debug, Args)]
@@ -69,8 +86,11 @@
 }
 
 fn main() -> ExitCode {
-    let Experiment::Restart(asked) = Arguments::parse().experiment;
-    match restart(&asked) {
+    let done = match Arguments::parse().experiment {
+        Experiment::Restart(asked) => restart(&asked),
+        Experiment::Cost(asked) => cost(&asked),
+    };
+    match done {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::FAILURE,
         Err(error) => {
@@ -80,7 +100,35 @@
     }
 }
 
-/// Plays all variants of all seeds, a few side by side, each on a thread of its own.
+/// Plays runs side by side, so many at a time, each on a thread of its own with a folder of its own.
+fn side_by_side<A, T, F>(runs: &[A], jobs: usize, play: F) -> std::io::Result<Vec<(A, T)>>
+where
+    A: Copy + Debug + Send + Sync,
+    T: Send,
+    F: AsyncFn(A, &Path) -> std::io::Result<T> + Sync,
+{
+    let one = |run: A| {
+        let folder = std::env::temp_dir().join(format!("petreldock-lab-{}-{run:?}", std::process::id()));
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        let played = tokio::task::LocalSet::new().block_on(&runtime, play(run, &folder));
+        let _ = std::fs::remove_dir_all(&folder);
+        played
+    };
+    let mut results = Vec::new();
+    for batch in runs.chunks(jobs.max(1)) {
+        std::thread::scope(|scope| {
+            let threads: Vec<_> = batch.iter().map(|run| (*run, scope.spawn(|| one(*run)))).collect();
+            for (run, thread) in threads {
+                let played = thread.join().map_err(|_| std::io::Error::other("a run panicked"))??;
+                results.push((run, played));
+            }
+            Ok::<(), std::io::Error>(())
+        })?;
+    }
+    Ok(results)
+}
+
+/// Plays all variants of all seeds.
 fn plays(asked: &Restart) -> std::io::Result<Vec<(u64, Variant, Figures)>> {
     let plan = Plan {
         binary: asked.binary.clone(),
@@ -92,29 +140,37 @@
     };
     let seeds = asked.seed..asked.seed + asked.seeds;
     let all: Vec<(u64, Variant)> = seeds.flat_map(|s| VARIANTS.map(|v| (s, v))).collect();
-    let mut figures = Vec::new();
-    for batch in all.chunks(asked.jobs.max(1)) {
-        let threads: Vec<_> = batch
-            .iter()
-            .map(|&(seed, variant)| {
-                let plan = plan.clone();
-                std::thread::spawn(move || {
-                    let name = format!("petreldock-lab-{}-{seed}-{variant:?}", std::process::id());
-                    let folder = std::env::temp_dir().join(name);
-                    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-                    let local = tokio::task::LocalSet::new();
-                    let played = local.block_on(&runtime, restart::play(&plan, variant, seed, &folder));
-                    let _ = std::fs::remove_dir_all(&folder);
-                    played
-                })
-            })
-            .collect();
-        for (thread, &(seed, variant)) in threads.into_iter().zip(batch) {
-            let played = thread.join().map_err(|_| std::io::Error::other("a run panicked"))??;
-            figures.push((seed, variant, played));
-        }
+    let played = side_by_side(&all, asked.jobs, async |(seed, variant), folder: &Path| {
+        restart::play(&plan, variant, seed, folder).await
+    })?;
+    Ok(played.into_iter().map(|((seed, variant), figures)| (seed, variant, figures)).collect())
+}
+
+/// Most that keeping may add to the p99 of a set-up.
+const COST_MOST: f64 = 1.02;
+
+fn cost(asked: &Cost) -> std::io::Result<bool> {
+    let seeds: Vec<u64> = (asked.seed..asked.seed + asked.seeds).collect();
+    let played =
+        side_by_side(&seeds, 4, async |seed, folder: &Path| cost::play(&asked.binary, seed, folder).await)?;
+    println!("set-up from its intended start, in us, on and off side by side");
+    let mut ratios = (Vec::new(), Vec::new());
+    for (seed, [on, off]) in &played {
+        println!("seed {seed}: p50 {} / {}, p99 {} / {}", on.0, off.0, on.1, off.1);
+        ratios.0.push(on.0 / off.0.max(1.0));
+        ratios.1.push(on.1 / off.1.max(1.0));
     }
-    Ok(figures)
+    let median = |ratios: &mut Vec<f64>| {
+        ratios.sort_by(f64::total_cmp);
+        (ratios[0], ratios[ratios.len() / 2], ratios[ratios.len() - 1])
+    };
+    let (p50, p99) = (median(&mut ratios.0), median(&mut ratios.1));
+    println!(
+        "on / off: p50 {:.3} {:.3} {:.3}, p99 {:.3} {:.3} {:.3} (least, median, greatest)",
+        p50.0, p50.1, p50.2, p99.0, p99.1, p99.2
+    );
+    println!("bound: the median of p99 at most {COST_MOST}");
+    Ok(p99.1 <= COST_MOST)
 }
 
 /// Least, mean and greatest of some shares, in thousandths.
