--- a/src/logic.rs
+++ b/src/logic.rs
@@ -115,7 +115,7 @@
 const NUMBER_MOST: f64 = 0.9;
 /// The least mean length of a call, in seconds, that lines are reckoned with.
 const HOLD_LEAST: f64 = 0.1;
-/// A recalled rate is wrong if the first one told is over so many times it.
+/// What is recalled is wrong once a rate is told that is over so many times the recalled one.
 const RECALL_OFF: f64 = 1.25;
 /// Calls that a recalled mean length counts as.
 const RECALL_CALLS: f64 = 20.0;
@@ -218,7 +218,7 @@
     spare: f64, // What all gateways may bring beyond that, a second; no bound where nothing is told
     pass: f64,  // The part of own calls to let through
     trial_at: Option<Micros>, // Set while it gives signs of being dead: next trial not before this
-    prior: bool, // What it is held to carry is recalled: no rate was told since the start
+    prior: f64, // The rate recalled of it, till one is told that is clearly higher
 }
 
 /// What the servers' figures are read with.
@@ -352,9 +352,8 @@
             }
             Event::Peer(_, bytes) => self.heard(&bytes),
             Event::Recalled(hold, servers) => {
-                if let Some(hold) = hold {
-                    (self.env.hold, self.holds) = (hold.max(HOLD_LEAST), RECALL_CALLS);
-                }
+                self.holds = hold.map_or(0.0, |_| RECALL_CALLS);
+                self.env.hold = hold.unwrap_or(self.env.hold).max(HOLD_LEAST);
                 self.recalled = servers.into_iter().collect();
             }
         }
@@ -837,8 +836,9 @@
         }
         if let Some(rate) = report.can_take {
             // What was recalled held back what can be taken: it counts no more at all.
-            if std::mem::take(&mut s.prior) && rate > s.carries * RECALL_OFF {
-                (s.weight, s.pass, s.share) = (1.0, 1.0, Share::default());
+            if s.prior > 0.0 && rate > s.prior * RECALL_OFF {
+                (s.weight, s.pass, s.share, s.prior) = (1.0, 1.0, Share::default(), 0.0);
+                (s.wait, s.delay) = (Micros(0), Micros(0));
             }
             s.can_take = rate;
             s.carries = rate;
@@ -898,7 +898,7 @@
         (self.share.part, self.share.until) = (belief.share, belief.share_until.min(now + SHARE_PERIOD));
         self.trial_at = belief.silent.then_some(now);
         if now >= self.cold_until && belief.carries > 0.0 {
-            (self.carries, self.prior) = (belief.carries, true);
+            (self.carries, self.prior) = (belief.carries, belief.carries);
         }
     }
 
@@ -945,7 +945,7 @@
         // Danger: a gateway that starts may be told that all lines are free before they are counted.
         let Some((before, at)) = self.taken.filter(|(before, _)| *before > 0.0) else {
             self.flow = used / env.hold;
-            self.carries = if self.prior { self.carries } else { size / env.hold };
+            self.carries = if self.prior > 0.0 { self.prior } else { size / env.hold };
             self.spare = (self.carries - self.flow).max(self.carries * SPARE_LEAST);
             self.taken = Some((used, now));
             return;
