Add an append-only log in segments to the store, with group commit and bounded replay

Need: calls that survive a restart must be on disk before what is sent. Records have a sequence and a sum; a batch is synced once; a segment that failed is over, and the next one tells where it goes on, so that a torn tail can be told from damage, which is named by file and first bad byte. Also a test of a disk that never answers. Nothing uses the log yet.

--- a/src/store/folder.rs
+++ b/src/store/folder.rs
@@ -44,6 +44,8 @@
     path: PathBuf,
     /// Held for as long as this lives; the system lets it go when the process ends, however it ends.
     _lock: Option<File>,
+    /// The file that was appended to last.
+    appending: Option<(String, File)>,
 }
 
 impl Folder {
@@ -55,7 +57,7 @@
         let mut options = OpenOptions::new();
         let lock = options.write(true).create(true).truncate(false).mode(FILE_MODE).open(path.join(LOCK))?;
         match lock.try_lock() {
-            Ok(()) => Ok(Folder { path: path.into(), _lock: Some(lock) }),
+            Ok(()) => Ok(Folder { path: path.into(), _lock: Some(lock), appending: None }),
             Err(TryLockError::WouldBlock) => Err(OpenError::InUse),
             Err(TryLockError::Error(error)) => Err(OpenError::Io(error)),
         }
@@ -64,7 +66,20 @@
     /// Looks into a folder that another process may have. Nothing is to be written through it.
     pub fn look(path: &Path) -> io::Result<Folder> {
         fs::read_dir(path)?;
-        Ok(Folder { path: path.into(), _lock: None })
+        Ok(Folder { path: path.into(), _lock: None, appending: None })
+    }
+}
+
+impl Folder {
+    /// The file to append to. Danger: a sync reports only errors since its file was opened, so that the same one
+    /// must stay open from the append to its sync.
+    fn appending(&mut self, name: &str) -> io::Result<&mut File> {
+        let held = self.appending.take().filter(|(held, _)| held == name);
+        let held = match held {
+            Some(held) => held,
+            None => (name.into(), OpenOptions::new().append(true).open(self.path.join(name))?),
+        };
+        Ok(&mut self.appending.insert(held).1)
     }
 }
 
@@ -91,11 +106,20 @@
         file.sync_all()
     }
 
+    fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        self.appending(name)?.write_all(bytes)
+    }
+
+    fn sync(&mut self, name: &str) -> io::Result<()> {
+        self.appending(name)?.sync_data()
+    }
+
     fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
         fs::rename(self.path.join(from), self.path.join(to))
     }
 
     fn remove(&mut self, name: &str) -> io::Result<()> {
+        self.appending.take_if(|(held, _)| held == name);
         match fs::remove_file(self.path.join(name)) {
             Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(()),
             done => done,
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -1,4 +1,4 @@
-//! Durable files: whole snapshots in one folder, over a small [`Disk`].
+//! Durable files in one folder, over a small [`Disk`]: whole snapshots, and an append-only [`Log`].
 //!
 //! A snapshot is written whole beside the current one, synced, and renamed into its place; the one before
 //! is kept as a fall-back. At whatever point the power goes, the previous or the new one is found, whole.
@@ -6,16 +6,20 @@
 //! described byte by byte in `docs/FORMAT.md`.
 
 mod folder;
+mod log;
 mod snapshot;
 
 pub use folder::{Folder, OpenError, LOCK};
+pub use log::{
+    frame, next_record, BadRecord, Finding, Log, Record, Replayed, BATCH_MOST, RECORD_MOST, SEGMENT_FULL,
+};
 pub use snapshot::{encode, read, Fault, Header, Loaded, SetAside, Snapshots, HEADER, PAYLOAD_MOST};
 
 use std::io;
 
 /// What files are kept on: one folder with flat names. Tests put a simulated one here and cut its power.
 ///
-/// Nothing but [`Disk::put`] and [`Disk::sync_folder`] waits for the device.
+/// Nothing but [`Disk::put`], [`Disk::sync`] and [`Disk::sync_folder`] waits for the device.
 pub trait Disk {
     /// The whole file, or `None` if there is none.
     ///
@@ -27,6 +31,12 @@
     /// final for that file: what it holds is not known, and it is not synced again but made anew.
     fn put(&mut self, name: &str, bytes: &[u8]) -> io::Result<()>;
 
+    /// Adds bytes at the end of a file that is there. They last from the next [`Disk::sync`] of it on.
+    fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()>;
+
+    /// Makes what was appended to a file last. An error is final for that file, as with [`Disk::put`].
+    fn sync(&mut self, name: &str) -> io::Result<()>;
+
     /// Gives a file another name, in one step; what had that name is gone. It lasts from the next
     /// [`Disk::sync_folder`] on, and may last earlier.
     fn rename(&mut self, from: &str, to: &str) -> io::Result<()>;
--- a/tests/common/sim_disk.rs
+++ b/tests/common/sim_disk.rs
@@ -20,7 +20,8 @@
 #[derive(Clone, Default)]
 struct File {
     bytes: Vec<u8>,
-    synced: bool,
+    /// So many of them are known to last.
+    synced: usize,
 }
 
 /// The disk. Each step of an operation counts, and the power can go after any.
@@ -79,6 +80,30 @@
         Ok(())
     }
 
+    /// Each sector that is written is a step of its own.
+    fn write(&mut self, file: usize, bytes: &[u8]) -> io::Result<()> {
+        for sector in bytes.chunks(SECTOR) {
+            self.step()?;
+            if self.read_only {
+                return Err(io::ErrorKind::ReadOnlyFilesystem.into());
+            }
+            if self.room.is_some_and(|room| self.files[file].bytes.len() + sector.len() > room) {
+                return Err(io::ErrorKind::StorageFull.into());
+            }
+            self.files[file].bytes.extend_from_slice(sector);
+        }
+        Ok(())
+    }
+
+    fn settle(&mut self, file: usize) -> io::Result<()> {
+        self.step()?;
+        if self.failing_syncs {
+            return Err(io::Error::other("a failing device"));
+        }
+        self.files[file].synced = self.files[file].bytes.len();
+        Ok(())
+    }
+
     /// What is found after the power went: any part of the un-synced changes, and torn un-synced files.
     pub fn after_power_loss(&self, seed: u64) -> SimDisk {
         let mut rng = Pcg32::seed_from_u64(seed);
@@ -92,10 +117,10 @@
                 apply(&mut disk.names, change);
             }
         }
-        for file in disk.files.iter_mut().filter(|f| !f.synced) {
-            let kept = rng.next_u32() as usize % (file.bytes.len() + 1);
-            file.bytes.truncate(kept);
-            for sector in file.bytes.chunks_mut(SECTOR) {
+        for file in disk.files.iter_mut().filter(|f| f.synced < f.bytes.len()) {
+            let kept = rng.next_u32() as usize % (file.bytes.len() - file.synced + 1);
+            file.bytes.truncate(file.synced + kept);
+            for sector in file.bytes[file.synced..].chunks_mut(SECTOR) {
                 match rng.next_u32() % 4 {
                     0 => sector.fill(0),
                     1 => sector.iter_mut().for_each(|b| *b = rng.next_u32() as u8),
@@ -103,7 +128,7 @@
                 }
             }
         }
-        disk.files.iter_mut().for_each(|f| f.synced = true);
+        disk.files.iter_mut().for_each(|f| f.synced = f.bytes.len());
         disk.lasting = disk.names.clone();
         disk
     }
@@ -116,7 +141,7 @@
 
     /// Lays a file down, synced.
     pub fn lay(&mut self, name: &str, bytes: &[u8]) {
-        self.files.push(File { bytes: bytes.into(), synced: true });
+        self.files.push(File { bytes: bytes.into(), synced: bytes.len() });
         self.names.insert(name.into(), self.files.len() - 1);
         self.lasting = self.names.clone();
     }
@@ -135,20 +160,18 @@
         self.files.push(File::default());
         let file = self.files.len() - 1;
         self.change(Change::Link(name.into(), file))?;
-        // Each sector that is written is a step of its own.
-        for sector in bytes.chunks(SECTOR) {
-            self.step()?;
-            if self.room.is_some_and(|room| self.files[file].bytes.len() + sector.len() > room) {
-                return Err(io::ErrorKind::StorageFull.into());
-            }
-            self.files[file].bytes.extend_from_slice(sector);
-        }
-        self.step()?;
-        if self.failing_syncs {
-            return Err(io::Error::other("a failing device"));
-        }
-        self.files[file].synced = true;
-        Ok(())
+        self.write(file, bytes)?;
+        self.settle(file)
+    }
+
+    fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        let file = *self.names.get(name).ok_or(io::ErrorKind::NotFound)?;
+        self.write(file, bytes)
+    }
+
+    fn sync(&mut self, name: &str) -> io::Result<()> {
+        let file = *self.names.get(name).ok_or(io::ErrorKind::NotFound)?;
+        self.settle(file)
     }
 
     fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
--- a/tests/state.rs
+++ b/tests/state.rs
@@ -182,6 +182,27 @@
     std::fs::remove_file(&path).expect("removed");
 }
 
+#[test]
+fn a_disk_that_never_answers_holds_up_neither_the_start_nor_a_call_nor_the_end() {
+    let record = Record::default();
+    let hub = Hub::start(0, Manner::Answer, &record);
+    let targets = [site::target("s-0", &hub.address.to_string(), 0, "in_service")];
+    let path = folder("slow");
+    std::fs::create_dir_all(&path).expect("made");
+    // To open a pipe that nobody writes to takes for ever.
+    let made = Command::new("mkfifo").arg(path.join("learning")).status().expect("it runs");
+    assert!(made.success());
+    let mut program = Program::start(&targets, None, Some(&operator(&path)));
+    assert!(program.logged("not read within 500ms; starting without it"), "{}", program.log());
+    let mut caller = Caller::connect(program.address);
+    caller.invite(0x61, 3000, 0);
+    assert_eq!(caller.answer(0x61).map(|a| a.0), Some(200));
+    program.signal("-TERM");
+    assert!(until("it ends", || program.child.try_wait().expect("waited")).success());
+    assert!(program.logged("the last of what was learnt is not written in time"));
+    std::fs::remove_dir_all(&path).expect("removed");
+}
+
 #[test]
 fn logs_are_json_where_the_operator_says_so() {
     let program = Program::start(&[], None, Some(r#"{"log":{"form":"json","level":"info"}}"#));
