--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -731,9 +731,10 @@
     assert_eq!(first_of_40(&mut Desk::new(2)), 40, "which a start without it does not know");
     assert_eq!(recalling(2, SLOW).gateway.belief(ServerId(0)).expect("known").heard, SLOW.heard);
     // A later list that recalls nothing does not start the mean length of a call over.
+    let held = desk.gateway.hold();
     desk.tell(Event::Recalled(None, vec![]));
     desk.dial(0);
-    assert!((4.0..6.0).contains(&desk.gateway.hold()), "{}", desk.gateway.hold());
+    assert!(desk.gateway.hold() - held < 0.1, "{held} to {}", desk.gateway.hold());
     // The draw of diverted calls goes by the recalled weight.
     let mut desk = recalling(3, SLOW);
     desk.report(2, share(1.0));
