--- /dev/null
+++ b/benches/log.rs
@@ -0,0 +1,41 @@
+//! What it costs to have records on the disk: one sync a record, against one for all that waits.
+//!
+//!     cargo bench --bench log
+
+use hdrhistogram::Histogram;
+use petreldock::store::{Folder, Log};
+use std::time::Instant;
+
+/// A record of a call: its names, its class, its deadline, and a description.
+const RECORD: usize = 220;
+const RECORDS: usize = 4000;
+
+fn main() {
+    let path = std::env::temp_dir().join(format!("petreldock-bench-log-{}", std::process::id()));
+    println!("{RECORDS} records of {RECORD} bytes; a commit in us, and records a second; three rounds each");
+    for batch in [1, 4, 16, 64, 256] {
+        for _ in 0..3 {
+            let _ = std::fs::remove_dir_all(&path);
+            let mut folder = Folder::open(&path).expect("made");
+            let mut log = Log::new("calls", 2, 1);
+            let payload = vec![7; RECORD];
+            let mut times = Histogram::<u64>::new_with_max(10_000_000_000, 3).expect("three digits");
+            let start = Instant::now();
+            // Few commits tell what many records cost, where each waits for the disk.
+            let commits = (RECORDS / batch).min(1000);
+            for _ in 0..commits {
+                let began = Instant::now();
+                log.commit(&mut folder, &vec![&payload[..]; batch]).expect("written");
+                times.saturating_record(began.elapsed().as_nanos() as u64);
+            }
+            let rate = (commits * batch) as f64 / start.elapsed().as_secs_f64();
+            let us = |q| times.value_at_quantile(q) as f64 / 1e3;
+            println!(
+                "  {batch:>4} a commit: p50 {:>6.0}  p99 {:>6.0}  {rate:>9.0} records/s",
+                us(0.5),
+                us(0.99)
+            );
+        }
+    }
+    std::fs::remove_dir_all(&path).expect("removed");
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod learning;
 mod logic;
 pub mod net;
+pub mod recovery;
 pub mod state;
 pub mod store;
 pub mod telemetry;
