--- a/src/logic.rs
+++ b/src/logic.rs
@@ -837,8 +837,8 @@
         if let Some(rate) = report.can_take {
             // What was recalled held back what can be taken: it counts no more at all.
             if s.prior > 0.0 && rate > s.prior * RECALL_OFF {
-                (s.weight, s.pass, s.passed, s.share) = (1.0, 1.0, 1.0, Share::default());
-                (s.wait, s.delay, s.prior) = (Micros(0), Micros(0), 0.0);
+                (s.weight, s.pass, s.share, s.prior) = (1.0, 1.0, Share::default(), 0.0);
+                (s.wait, s.delay) = (Micros(0), Micros(0));
             }
             s.can_take = rate;
             s.carries = rate;
