Give a whole picture at a planned end, and leave other people's folders as they are

Found on reading the change again. A planned end half-way through a picture of over 128 hubs overflowed a sum: a panic in debug, a picture that never came in release. Taking a folder narrowed its permissions, also where it held other files, and 'state forget' made a lock in any folder that it was given. Each has a test; the first fails with the old sum.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -4,6 +4,7 @@
 use crate::interface::Micros;
 use crate::learning::{Kept, Picture};
 use crate::state::{self, Examined};
+use crate::store::LOCK;
 use clap::{Parser, Subcommand};
 use miniserde::{json, Serialize};
 use std::fmt::Write;
@@ -192,7 +193,10 @@
             Ok(Printed { text: verify(files, *json), good })
         }
         State::Forget { folder } => {
-            std::fs::read_dir(folder).map_err(|e| named(folder, &e))?;
+            // Danger: to take a folder makes a lock in it; a slip of the hand must not do so just anywhere.
+            if !folder.join(LOCK).exists() {
+                return Err(named(folder, &"no state folder"));
+            }
             state::forget(folder).map_err(|e| named(folder, &e))?;
             Ok(Printed { text: format!("{}: forgotten\n", folder.display()), good: true })
         }
--- a/src/learning/mod.rs
+++ b/src/learning/mod.rs
@@ -234,7 +234,8 @@
         most: usize,
         mut look: impl FnMut(usize) -> Option<Kept>,
     ) -> Option<Vec<Kept>> {
-        let end = count.min(self.next + most);
+        // At a planned end all the rest is asked for, perhaps half-way through.
+        let end = count.min(self.next.saturating_add(most));
         self.hubs.extend((self.next..end).filter_map(&mut look));
         self.next = end;
         (end == count).then(|| std::mem::take(self).hubs)
--- a/src/store/folder.rs
+++ b/src/store/folder.rs
@@ -52,8 +52,11 @@
     /// Makes the folder if it is not there, and takes it for this process alone.
     pub fn open(path: &Path) -> Result<Folder, OpenError> {
         DirBuilder::new().recursive(true).mode(FOLDER_MODE).create(path)?;
-        // One that was there may be open to others, and what is kept names hubs and their addresses.
-        fs::set_permissions(path, fs::Permissions::from_mode(FOLDER_MODE))?;
+        // One that was there may be open to others, and what is kept names hubs and their addresses. Danger: one
+        // with other files in it is not ours to close to those who use it.
+        if path.join(LOCK).exists() || fs::read_dir(path)?.next().is_none() {
+            fs::set_permissions(path, fs::Permissions::from_mode(FOLDER_MODE))?;
+        }
         let mut options = OpenOptions::new();
         let lock = options.write(true).create(true).truncate(false).mode(FILE_MODE).open(path.join(LOCK))?;
         match lock.try_lock() {
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -376,6 +376,19 @@
     assert!(desk.said().is_none(), "nor does one that is over");
 }
 
+#[test]
+fn a_planned_end_half_way_through_a_picture_still_gives_a_whole_one() {
+    let (mut desk, latest) = keeping(None);
+    let hubs = (0..1000).map(|n| hub(&format!("h-{n}"), "10.0.0.9:1", n, Phase::Up)).collect();
+    desk.tell(Input::List(true, hubs));
+    desk.pass(SECOND + 15_000);
+    assert!(latest.borrow().is_none(), "it is being gathered");
+    desk.tell(Input::Keep);
+    let picture = latest.borrow().clone().expect("whole");
+    let names: std::collections::BTreeSet<_> = picture.hubs.iter().map(|k| k.hub.uid.clone()).collect();
+    assert_eq!((picture.hubs.len(), names.len()), (1000, 1000));
+}
+
 #[test]
 fn hubs_of_the_operators_file_are_kept_where_no_list_ever_comes() {
     let (mut desk, latest) = keeping(None);
--- a/tests/state.rs
+++ b/tests/state.rs
@@ -68,6 +68,8 @@
     let shown = command(&["state", "show"], &path);
     assert!(text(&shown.stdout).contains("s-0"), "{shown:?}");
     assert!(command(&["state", "forget"], &path).status.success());
+    let elsewhere = command(&["state", "forget"], &std::env::temp_dir());
+    assert!(!elsewhere.status.success() && text(&elsewhere.stderr).contains("no state folder"));
     let shown = command(&["state", "show"], &path);
     assert!(text(&shown.stderr).contains("nothing that can be used is kept here"));
     std::fs::remove_dir_all(&path).expect("removed");
--- a/tests/store.rs
+++ b/tests/store.rs
@@ -178,6 +178,13 @@
     drop(held);
     Folder::open(&path).expect("let go");
     std::fs::remove_dir_all(&path).expect("removed");
+    // A folder with other files in it stays open to those who use it; what is kept there is not.
+    std::fs::create_dir_all(&path).expect("made");
+    std::fs::set_permissions(&path, std::fs::Permissions::from_mode(0o755)).expect("set");
+    std::fs::write(path.join("theirs"), b"x").expect("written");
+    Folder::open(&path).expect("taken").put("a", b"b").expect("written");
+    assert_eq!((mode(&path), mode(&path.join("a"))), (0o755, 0o600));
+    std::fs::remove_dir_all(&path).expect("removed");
 }
 
 /// Not a test of its own: what [`a_killed_process_leaves_whole_files`] starts and kills.
