--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -394,6 +394,7 @@
             returned: offer.returned,
             transit: false,
         };
+        tracing::debug!(call = %offer.call, within_us = (offer.deadline - now).0, "taken");
         self.description_bytes = held;
         self.unanswered += 1;
         self.by_name.insert(offer.call, id);
@@ -489,7 +490,7 @@
                 self.hubs[index].heard = true;
                 self.tell(now, Event::Probed(server, Outcome::Success, report));
             }
-            FromHub::Dead => self.cut(now, link),
+            FromHub::Dead => self.cut(now, link, |call| call.standing),
             FromHub::Media(name, frame) => {
                 let call = self.at_link(link, name).map(|(_, c)| (c.standing, c.front, c.origin));
                 if let Some((true, front, origin)) = call {
@@ -516,6 +517,7 @@
                 let Some(out) = &call.out else { return };
                 let (front, origin, server, copy) = (call.front, call.origin, out.server, out.copy);
                 let took = now - out.sent;
+                tracing::debug!(call = %name, attempt = out.number, link = link.0, "stands");
                 self.to_front(front, ToFront::Answer(origin, name, description));
                 self.tell(now, Event::Stands(id, server, copy, took));
             }
@@ -541,9 +543,9 @@
         }
     }
 
-    /// All that a hub had is over: its process is dead or gone.
-    fn cut(&mut self, now: Micros, link: LinkId) {
-        let had = |c: &&Call| c.out.as_ref().is_some_and(|o| o.link == link);
+    /// What a hub had of these calls is over: its process is dead or gone.
+    fn cut(&mut self, now: Micros, link: LinkId, which: impl Fn(&Call) -> bool) {
+        let had = |c: &&Call| which(c) && c.out.as_ref().is_some_and(|o| o.link == link);
         let cut: Vec<CallId> = self.calls.values().filter(had).map(|c| c.id).collect();
         for id in cut {
             let Some(call) = self.calls.get(&id) else { continue };
@@ -571,6 +573,7 @@
         let Some(call) = self.calls.get_mut(&id) else { return };
         let Some(out) = call.out.take() else { return };
         call.standing = false;
+        tracing::debug!(call = %call.name, attempt = out.number, link = out.link.0, ?outcome, "ended");
         if matches!(outcome, Outcome::TimedOut | Outcome::Broken | Outcome::Withdrawn) {
             call.not_before = now + self.limits.release;
         }
@@ -592,6 +595,7 @@
         let name = call.name;
         let Some(out) = call.out.as_mut().filter(|o| o.ending.is_none()) else { return };
         out.ending = Some(ending);
+        tracing::debug!(call = %name, attempt = out.number, ?ending, "giving up");
         let (link, number) = (out.link, out.number);
         self.to_hub(link, ToHub::GiveUp(name, number));
     }
@@ -674,6 +678,9 @@
             }
             state.place = hub.place;
             state.born = hub.born.or(state.born.filter(|_| hub.phase != Phase::Up));
+            if state.phase != hub.phase || other {
+                tracing::debug!(hub = %state.uid, phase = ?hub.phase, endpoint = %state.endpoint, other, "listed");
+            }
             state.phase = hub.phase;
             if other || hub.phase == Phase::Gone {
                 self.close(now, index);
@@ -722,7 +729,7 @@
     fn close(&mut self, now: Micros, index: usize) {
         if let Some((link, sender)) = self.hubs[index].link.take() {
             let _ = sender.try_send(ToHub::Close);
-            self.cut(now, link);
+            self.cut(now, link, |_| true);
             self.links.remove(&link);
             self.hubs[index].heard = false;
         }
@@ -803,6 +810,7 @@
         if sender.try_send(ToHub::SetUp(set_up)).is_err() {
             return false;
         }
+        tracing::debug!(call = %call.name, attempt = number, link = link.0, hub = %hub.uid, "sent");
         call.out = Some(Attempt { link: *link, server, copy: call.sent, number, sent: now, ending: None });
         call.sent += 1;
         self.wheel.add(until, Due::Attempt(id, number));
@@ -816,6 +824,7 @@
         call.answered = true;
         self.unanswered -= 1;
         let (front, origin, name) = (call.front, call.origin, call.name);
+        tracing::debug!(call = %name, refused = matches!(action, Action::Refuse(..)), "answered");
         let message = match action {
             Action::Refuse(_, away) => ToFront::Refuse(origin, name, away),
             _ => ToFront::Fail(origin, name),
--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -3,12 +3,20 @@
 
 use crate::interface::{Micros, Report};
 use bytes::Bytes;
+use std::fmt;
 use std::sync::Arc;
 
 /// A call's name on the wires, the same on every leg.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct CallName(pub u64);
 
+/// As the wires write it, for the logs.
+impl fmt::Display for CallName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
 /// One life of a hub: a new one starts when its address or its start changes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct LinkId(pub u64);
@@ -146,7 +154,8 @@
     NotSent(CallName, u64),
     /// The state of the hub.
     State(Report),
-    /// The hub's process is dead, and the calls it had are cut.
+    /// The hub's process is dead, and the calls that stood there are cut. Set-ups that were open are told of
+    /// one by one, each as it was settled.
     Dead,
     /// A media frame of a call that stands.
     Media(CallName, Description),
--- a/src/net/hub.rs
+++ b/src/net/hub.rs
@@ -272,6 +272,7 @@
                     return;
                 }
                 self.dialled += 1;
+                tracing::debug!(link = self.id.0, connection = self.dialled, "up");
                 let mut queue: VecDeque<Out> =
                     self.parked.drain(..).map(|(_, call, cause)| Out::Release(call, cause)).collect();
                 queue.extend(self.waiting.drain(..).map(Out::SetUp));
@@ -291,6 +292,7 @@
                 });
             }
             Err(error) => {
+                tracing::debug!(link = self.id.0, %error, waiting = self.waiting.len(), "dial failed");
                 let unreachable = |s: SetUp| FromHub::Unreachable(s.call, s.attempt);
                 self.news.extend(self.waiting.drain(..).map(unreachable));
                 self.next_dial = Some(now + self.backoff);
@@ -299,15 +301,37 @@
                 let open = !self.connections.is_empty();
                 // Danger: a process that died takes its calls with it, and nobody else tells. A refused
                 // connection proves that it is gone; a machine that vanished refuses nothing.
-                if is_dead(error.kind(), open, failing, now - self.alive) && !self.standing.is_empty() {
-                    self.standing.clear();
-                    self.alive = now;
-                    self.news.push(FromHub::Dead);
+                if is_dead(error.kind(), open, failing, now - self.alive)
+                    && (open || !self.standing.is_empty())
+                {
+                    self.dead(now);
                 }
             }
         }
     }
 
+    /// The hub is held to be dead. Danger: a hub that is only cut off still has what is open on its silent
+    /// connections, and may run it once it is back. A set-up is over when its connection is closed, not
+    /// before, and may have run.
+    fn dead(&mut self, now: Instant) {
+        for connection in std::mem::take(&mut self.connections) {
+            tracing::debug!(
+                link = self.id.0,
+                connection = connection.id,
+                open = connection.open.len(),
+                "dead"
+            );
+            for out in self.settle(connection) {
+                if let Out::SetUp(s) = out {
+                    self.news.push(FromHub::Unreachable(s.call, s.attempt));
+                }
+            }
+        }
+        self.standing.clear();
+        self.alive = now;
+        self.news.push(FromHub::Dead);
+    }
+
     /// Set-ups are out, and all connections that have any have been silent for long.
     fn owes_answers(&self, now: Instant) -> bool {
         let mut owing = self.connections.iter().filter(|c| !c.open.is_empty()).peekable();
@@ -390,16 +414,13 @@
     /// A connection is gone: its set-ups alone are broken, and what had not begun goes on elsewhere.
     fn lost(&mut self, index: usize) {
         let connection = self.connections.remove(index);
-        let mut open: Vec<_> = connection.open.into_iter().collect();
-        open.sort_by_key(|(_, begun)| begun.at);
-        let set_ups: Vec<u64> = open.iter().map(|(_, begun)| begun.attempt).collect();
-        self.news.extend(open.into_iter().map(|(call, begun)| FromHub::Broken(call, begun.attempt)));
+        tracing::debug!(link = self.id.0, connection = connection.id, open = connection.open.len(), "lost");
         // Danger: a hub that resets what it accepted would be dialled as fast as it can.
         self.resets += u32::from(connection.heard == connection.opened);
+        let left = self.settle(connection);
         self.redial();
-        for out in connection.staged.into_iter().map(|(_, out)| out).chain(connection.queue) {
+        for out in left {
             match out {
-                Out::SetUp(set_up) if set_ups.contains(&set_up.attempt) => {}
                 Out::SetUp(set_up) => self.command(ToHub::SetUp(set_up)),
                 Out::Release(call, cause) => self.command(ToHub::Release(call, cause)),
                 // The set-up was broken just now.
@@ -408,6 +429,18 @@
         }
     }
 
+    /// Closes a connection: its set-ups are broken. What had not begun on it is given back.
+    fn settle(&mut self, connection: Connection) -> Vec<Out> {
+        let Connection { open, staged, queue, stream, .. } = connection;
+        drop(stream);
+        let mut open: Vec<_> = open.into_iter().collect();
+        open.sort_by_key(|(_, begun)| begun.at);
+        let begun: Vec<u64> = open.iter().map(|(_, begun)| begun.attempt).collect();
+        self.news.extend(open.into_iter().map(|(call, begun)| FromHub::Broken(call, begun.attempt)));
+        let left = staged.into_iter().map(|(_, out)| out).chain(queue);
+        left.filter(|out| !matches!(out, Out::SetUp(s) if begun.contains(&s.attempt))).collect()
+    }
+
     fn write(&mut self) {
         let now = self.clock.now();
         // From the last, as a connection that breaks is taken out.
@@ -570,7 +603,10 @@
             if let Out::SetUp(s) = out {
                 if self.begun > 0 {
                     let begun = Begun { attempt: s.attempt, at: Instant::now() };
-                    self.open.entry(s.call).or_insert(begun);
+                    self.open.entry(s.call).or_insert_with(|| {
+                        tracing::debug!(call = %s.call, attempt = s.attempt, connection = self.id, "begun");
+                        begun
+                    });
                 }
             }
             if self.begun < *length {
@@ -581,6 +617,7 @@
                 let begun = self.open.remove(&call).map(|b| b.at);
                 let late = |at: &Instant| at.elapsed() >= SUSPECT && self.heard < *at;
                 self.unheard = self.unheard.or(begun.filter(late));
+                tracing::debug!(%call, attempt, connection = self.id, "give-up written");
                 news.push(FromHub::GivenUp { attempt, call, began: true });
             }
         }
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -256,6 +256,25 @@
     assert!(desk.said().is_none(), "the closed link is heard no more");
 }
 
+#[test]
+fn a_dead_hub_cuts_what_stood_and_its_set_ups_end_as_the_link_settles_them() {
+    let mut desk = Desk::new();
+    for call in [1, 2] {
+        desk.offer(call, 0);
+    }
+    let open = desk.set_up(0).expect("the first");
+    assert!(desk.set_up(0).is_some());
+    desk.stands(0, 2);
+    assert!(matches!(desk.said(), Some(ToFront::Answer(..))));
+    desk.hear(0, FromHub::Dead);
+    assert!(matches!(desk.said(), Some(ToFront::Release(_, CallName(2), Cause(41)))));
+    desk.pass(SECOND / 2);
+    assert!(desk.set_up(0).or(desk.set_up(1)).is_none(), "no second copy while the first may still run");
+    desk.hear(0, FromHub::Broken(CallName(1), open));
+    desk.pass(SECOND / 2);
+    assert!(desk.set_up(0).or(desk.set_up(1)).is_some());
+}
+
 #[test]
 fn hubs_that_were_replaced_are_forgotten_and_new_ones_always_taken() {
     let mut desk = Desk::new();
--- a/tests/links.rs
+++ b/tests/links.rs
@@ -10,7 +10,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
@@ -152,7 +152,10 @@
 
 impl Pair {
     async fn new() -> Pair {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        Pair::listening(&TcpListener::bind("127.0.0.1:0").await.expect("a port")).await
+    }
+
+    async fn listening(listener: &TcpListener) -> Pair {
         let endpoint = listener.local_addr().expect("an address").to_string();
         let (inputs, news) = mpsc::channel(QUEUE);
         let clock = Clock::system();
@@ -264,3 +267,33 @@
     let news = pair.news().await;
     assert!(matches!(news, FromHub::Released(CallName(1), Cause(16), ..)), "{news:?}");
 }
+
+/// A door that lets nobody in: its queue is full, and further connections never come up.
+async fn shut(listener: &TcpListener) -> Vec<TcpStream> {
+    let address = listener.local_addr().expect("an address");
+    let mut waiting = Vec::new();
+    while let Ok(stream) = timeout(Duration::from_millis(500), TcpStream::connect(address)).await {
+        waiting.push(stream.expect("queued"));
+    }
+    waiting
+}
+
+#[tokio::test]
+async fn a_hub_held_to_be_dead_beside_silent_connections_has_them_closed_before_its_set_ups_end() {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("bound");
+    let listener = socket.listen(1).expect("listens");
+    let mut pair = Pair::listening(&listener).await;
+    let at = pair.set_up(1).await;
+    pair.answer(at, 1).await;
+    pair.set_up(2).await;
+    let _waiting = shut(&listener).await;
+    // Danger: told by the death alone, the core would send the call elsewhere while this hub still has it.
+    assert!(matches!(pair.news().await, FromHub::Broken(CallName(2), 3)));
+    assert!(matches!(pair.news().await, FromHub::Dead));
+    for stream in &mut pair.hub {
+        let mut bytes = [0; 256];
+        let end = timeout(Duration::from_millis(100), stream.read(&mut bytes)).await;
+        assert!(matches!(end, Ok(Ok(0) | Err(_))), "closed by then: {end:?}");
+    }
+}
