Dial in one place where an unset TCP_NODELAY costs no connection: drains are heard again

Ruled out: the descriptor (sound), the connect (it was up), descriptors running out (69 of 512), the number of processes (6, 20 and 60 alike), the hub links' same call (it worked). In the built program the poller's call passes the descriptor in a register of 64 bits of which the upper half is padding (mov 0x38(%rsp),%rdi); the links' passes 32 bits. Change: net::dial sets the option before the connect and goes on without it; hub and feed both use it (the front already went on). The test fails where the option's error ends the dial.

--- /dev/null
+++ b/src/net/dial.rs
@@ -0,0 +1,41 @@
+//! Connections to others: hubs and the change log are dialled in one way.
+
+use std::io;
+use std::net::SocketAddr;
+use tokio::net::{TcpSocket, TcpStream};
+use tokio::time::{timeout, Duration};
+
+/// Connects within `limit`, else fails with `TimedOut`. Small messages go out at once where the system
+/// can do that (RFC 1122, 4.2.3.4, as `TCP_NODELAY`).
+pub async fn dial(address: SocketAddr, limit: Duration) -> io::Result<TcpStream> {
+    dial_with(address, limit, |socket| socket.set_nodelay(true)).await
+}
+
+/// Danger: an option that cannot be set costs some speed, never the connection. The change log was not
+/// heard for whole days because its poller took that for a failed poll, at every poll.
+async fn dial_with(
+    address: SocketAddr,
+    limit: Duration,
+    tune: impl FnOnce(&TcpSocket) -> io::Result<()>,
+) -> io::Result<TcpStream> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    if let Err(error) = tune(&socket) {
+        tracing::debug!(%address, "no TCP_NODELAY: {error}");
+    }
+    timeout(limit, socket.connect(address)).await.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::net::TcpListener;
+
+    #[tokio::test]
+    async fn a_connection_whose_options_cannot_be_set_is_kept() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let bad_descriptor = || io::Error::from_raw_os_error(9);
+        let dialled = dial_with(address, Duration::from_secs(20), |_| Err(bad_descriptor())).await;
+        assert_eq!(dialled.expect("it is up").peer_addr().expect("connected"), address);
+    }
+}
--- a/src/net/feed.rs
+++ b/src/net/feed.rs
@@ -1,6 +1,7 @@
 //! The change log's poller: one long poll after another, without gaps.
 
 use super::buffer::Buffer;
+use super::dial::dial;
 use super::http;
 use crate::config::{self, At, Changes};
 use crate::core::{Hub, Input};
@@ -110,9 +111,8 @@
     sleep(pause).await;
     let (mut stream, mut buffer) = match kept {
         Some(kept) => kept,
-        None => (timeout(SLACK, TcpStream::connect(address)).await??, Buffer::default()),
+        None => (dial(address, SLACK).await?, Buffer::default()),
     };
-    stream.set_nodelay(true)?;
     let hold = HOLD.as_millis();
     let request = format!(
         "GET /changes?since={seq}&timeout={hold} HTTP/1.1\r\nHost: {address}\r\nAccept: application/json\r\n\r\n"
--- a/src/net/hub.rs
+++ b/src/net/hub.rs
@@ -5,6 +5,7 @@
 
 use super::binary::{self, code, kind, Message};
 use super::buffer::Buffer;
+use super::dial::dial;
 use super::SDP;
 use crate::config::Limits;
 use crate::core::{CallName, Cause, Clock, Description, FromHub, Input, LinkId, Note, SetUp, ToHub};
@@ -243,10 +244,7 @@
             let (address, limit) = (self.address, self.limits.dial_timeout);
             self.dials.spawn(async move {
                 let address = address.ok_or(io::ErrorKind::InvalidInput)?;
-                let stream = tokio::time::timeout(limit, TcpStream::connect(address)).await;
-                let stream = stream.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))?;
-                stream.set_nodelay(true)?;
-                Ok(stream)
+                dial(address, limit).await
             });
         }
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod binary;
 pub mod buffer;
+pub mod dial;
 pub mod feed;
 pub mod front;
 pub mod http;
