--- a/benches/state.rs
+++ b/benches/state.rs
@@ -9,7 +9,7 @@
 use petreldock::core::{
     CallName, Cause, Core, Description, FromHub, FrontId, Hub, Input, LinkId, Note, Offer,
 };
-use petreldock::core::{Origin, Status, ToHub};
+use petreldock::core::{News, Origin, Status, ToHub};
 use petreldock::interface::{Micros, Phase, Report};
 use petreldock::learning::{self, Picture};
 use petreldock::state;
@@ -57,7 +57,7 @@
         phase: Phase::Up,
         born: None,
     });
-    core.handle(Micros(START), Input::List(true, list.collect()));
+    core.handle(Micros(START), Input::List(News { all: true, hubs: list.collect(), told: Micros(START) }));
     let mut times = Histogram::<u64>::new_with_max(10_000_000_000, 3).expect("three digits");
     let mut standing = std::collections::VecDeque::new();
     for tick in 1..=ticks {
--- /dev/null
+++ b/src/core/ends.rs
@@ -0,0 +1,99 @@
+//! How an attempt can end and what that proves, in one table. Links say what they saw; what it means for
+//! the call, and whether the set-up may have run, is looked up here and nowhere else.
+//!
+//! | seen | before the call stands | once it stands | may have run | pause |
+//! | --- | --- | --- | --- | --- |
+//! | release, cause 34 | no circuit, or with the note `throttled` processor full | cut | no | no |
+//! | release, cause 102 | moot: it never left | cut | no | no |
+//! | release, cause 41 | broken | cut | yes | yes |
+//! | release, any other cause | failure | the end (16, 31), else cut | yes | no |
+//! | give-up written | what it was given up for | – | yes | yes |
+//! | taken back before its first byte | never sent on | – | no | no |
+//! | its connection lost after its first byte | broken, or what it was given up for | cut | yes | yes |
+//! | no connection came up for it | never sent on | – | no | no |
+//! | not sent: the hub drains | never sent on | – | no | no |
+//! | not sent: its time was up | moot | – | no | no |
+//! | its hub dead or replaced | broken, once its connection is closed | cut | yes | yes |
+//!
+//! Whatever is not proven not to have run may have run; a set-up of which one byte went out is not proven.
+
+use super::types::{Cause, Note};
+use crate::interface::Outcome;
+
+/// What a link saw of an attempt's end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Seen {
+    /// The hub refused it, or released the call.
+    Released(Cause, Note),
+    /// The give-up is written.
+    GivenUp,
+    /// It was taken back before its first byte.
+    TakenBack,
+    /// Its connection was lost, or closed, after its first byte.
+    Lost,
+    /// No connection came up.
+    Unreachable,
+    /// The hub drains, and its first byte was still to go.
+    Drained,
+    /// Its time was up before its first byte.
+    Late,
+}
+
+/// How an attempt ended. `ending`: what it was being given up for, if it was. `standing`: its call stood.
+pub fn outcome(seen: Seen, standing: bool, ending: Option<Outcome>) -> Outcome {
+    match seen {
+        Seen::Released(Cause::NORMAL | Cause(31), _) if standing => Outcome::Success,
+        _ if standing => Outcome::Broken,
+        Seen::Released(Cause::NO_CIRCUIT, Note::Throttled) => Outcome::ProcessorFull,
+        Seen::Released(Cause::NO_CIRCUIT, _) => Outcome::Overloaded,
+        Seen::Released(Cause::TIMER_EXPIRY, _) => Outcome::Void,
+        Seen::Released(Cause::TEMPORARY_FAILURE, _) => Outcome::Broken,
+        Seen::Released(..) => Outcome::Failure,
+        Seen::GivenUp => ending.unwrap_or(Outcome::Withdrawn),
+        // What was decided first counts.
+        Seen::Lost => ending.unwrap_or(Outcome::Broken),
+        Seen::TakenBack | Seen::Unreachable | Seen::Drained => Outcome::Unreachable,
+        Seen::Late => Outcome::Void,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn each_row_of_the_table() {
+        let released = |cause, note| Seen::Released(Cause(cause), note);
+        let rows = [
+            (released(34, Note::None), Outcome::Overloaded, Outcome::Broken, false, false),
+            (released(34, Note::Congestion), Outcome::Overloaded, Outcome::Broken, false, false),
+            (released(34, Note::Throttled), Outcome::ProcessorFull, Outcome::Broken, false, false),
+            (released(102, Note::None), Outcome::Void, Outcome::Broken, false, false),
+            (released(41, Note::None), Outcome::Broken, Outcome::Broken, true, true),
+            (released(17, Note::Engaged), Outcome::Failure, Outcome::Broken, true, false),
+            (released(47, Note::None), Outcome::Failure, Outcome::Broken, true, false),
+            (released(16, Note::None), Outcome::Failure, Outcome::Success, true, false),
+            (released(31, Note::None), Outcome::Failure, Outcome::Success, true, false),
+            (released(0, Note::None), Outcome::Failure, Outcome::Broken, true, false),
+            (released(127, Note::None), Outcome::Failure, Outcome::Broken, true, false),
+            (Seen::GivenUp, Outcome::Withdrawn, Outcome::Broken, true, true),
+            (Seen::TakenBack, Outcome::Unreachable, Outcome::Broken, false, false),
+            (Seen::Lost, Outcome::Broken, Outcome::Broken, true, true),
+            (Seen::Unreachable, Outcome::Unreachable, Outcome::Broken, false, false),
+            (Seen::Drained, Outcome::Unreachable, Outcome::Broken, false, false),
+            (Seen::Late, Outcome::Void, Outcome::Broken, false, false),
+        ];
+        for (seen, before, after, may_have_run, pause) in rows {
+            assert_eq!(outcome(seen, false, None), before, "{seen:?}");
+            assert_eq!(outcome(seen, true, None), after, "{seen:?}");
+            assert_eq!(!before.proves_unrun(), may_have_run, "{seen:?}");
+            assert_eq!(before.awaits_release(), pause, "{seen:?}");
+        }
+        for ending in [Outcome::TimedOut, Outcome::Withdrawn] {
+            assert_eq!(outcome(Seen::GivenUp, false, Some(ending)), ending);
+            assert_eq!(outcome(Seen::Lost, false, Some(ending)), ending, "what was decided first counts");
+            assert_eq!(outcome(Seen::TakenBack, false, Some(ending)), Outcome::Unreachable);
+            assert!(ending.awaits_release() && !ending.proves_unrun());
+        }
+    }
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -4,6 +4,7 @@
 //! answers through queues. The module decides; the core keeps the books and guards the rules
 //! against bugs elsewhere: one final answer a call, one attempt at a time, the release pause, drains.
 
+pub mod ends;
 mod types;
 pub mod wheel;
 
@@ -13,7 +14,8 @@
 use crate::interface::*;
 use crate::learning::{Identity, Kept, Memory, Painter, Picture};
 use crate::Controller;
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use ends::Seen;
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Duration, Instant, MissedTickBehavior};
@@ -32,7 +34,7 @@
 /// Hubs in service and gone at most; what a list names beyond them is left out.
 const HUBS_MOST: usize = 4096;
 /// Hubs that are gone stay known up to so many, so that one that comes back keeps its id.
-const GONE_MOST: usize = 64;
+const GONE_MOST: usize = 1024;
 /// So many hubs' beliefs are gathered at one tick: no call waits for all of them.
 const PAINTED_EACH: usize = 128;
 
@@ -78,6 +80,8 @@
     fixed: bool,
     /// No list has been passed on since it was first named.
     fresh: bool,
+    /// Which list named it last.
+    named: u64,
 }
 
 impl HubState {
@@ -101,6 +105,8 @@
     /// Its own number.
     number: u64,
     sent: Micros,
+    /// When it times out.
+    until: Micros,
     /// Set once it is being given up: how it will have ended.
     ending: Option<Outcome>,
 }
@@ -172,12 +178,23 @@
     ended: HashMap<CallName, Micros>,
     ended_by_age: VecDeque<(CallName, Micros)>,
     hubs: Vec<HubState>,
+    by_uid: HashMap<Arc<str>, usize>,
+    by_id: BTreeMap<ServerId, usize>,
+    /// Hubs that may be forgotten, with since when they were told to go.
+    gone: BTreeSet<(Micros, usize)>,
     links: BTreeMap<LinkId, usize>,
+    /// Links told to close, with set-ups that are not settled yet.
+    closing: BTreeSet<LinkId>,
+    /// Which calls have an attempt at which link.
+    at: BTreeSet<(LinkId, CallId)>,
     last_call: u64,
     last_attempt: u64,
     last_link: u64,
     last_hub: u64,
+    lists: u64,
     listed: bool,
+    /// The change log, where there is one, was heard since the start.
+    current: bool,
     memory: Option<Memory>,
     keeping: Option<Keeping>,
 }
@@ -209,12 +226,19 @@
             ended: HashMap::new(),
             ended_by_age: VecDeque::new(),
             hubs: Vec::new(),
+            by_uid: HashMap::new(),
+            by_id: BTreeMap::new(),
+            gone: BTreeSet::new(),
             links: BTreeMap::new(),
+            closing: BTreeSet::new(),
+            at: BTreeSet::new(),
             last_call: 0,
             last_attempt: 0,
             last_link: 0,
             last_hub: 0,
+            lists: 0,
             listed: false,
+            current: config.change_log.is_none(),
             memory: None,
             keeping: None,
         })
@@ -247,7 +271,7 @@
                 self.hubs[index].fixed = true;
             }
         }
-        self.list(now, false, hubs);
+        self.list(now, News { all: false, hubs, told: now });
     }
 
     /// Takes one input.
@@ -275,7 +299,8 @@
                 }
             }
             Input::Hub(link, from) => self.heard(now, link, from),
-            Input::List(all, hubs) => self.list(now, all, hubs),
+            Input::List(news) => self.list(now, news),
+            Input::Current => self.current = true,
             Input::Keep => self.paint(now, usize::MAX),
         }
     }
@@ -349,18 +374,24 @@
         while self.ended_by_age.front().is_some_and(|(_, at)| *at + ENDED_KEPT < now) {
             self.forget_oldest();
         }
-        let heard = self.hubs.iter().filter(|h| h.phase == Phase::Up && !h.fixed).all(|h| h.heard);
         if self.keeping.as_ref().is_some_and(|k| k.next <= now || k.painter.is_some()) {
             self.paint(now, PAINTED_EACH);
         }
         let was = *self.status.borrow();
-        let settled = was.settled || self.listed && heard || self.started + READY_AFTER <= now;
+        let settled = was.settled || self.started + READY_AFTER <= now || self.informed();
         let status = Status { settled, stopping: self.stopping, unanswered: self.unanswered };
         if status != was {
             self.status.send_replace(status);
         }
     }
 
+    /// Whether the start's news are in: the change log's, and the state of every hub. Danger: the list of the
+    /// start may be older than a drain that counts as told.
+    fn informed(&self) -> bool {
+        let asked = |h: &&HubState| h.phase == Phase::Up && !h.fixed;
+        self.listed && self.current && self.hubs.iter().filter(asked).all(|h| h.heard)
+    }
+
     // ---- callers ----
 
     fn offer(&mut self, now: Micros, offer: Offer) {
@@ -449,15 +480,24 @@
     // ---- hubs ----
 
     fn heard(&mut self, now: Micros, link: LinkId, from: FromHub) {
-        let Some(index) = self.links.get(&link).copied() else { return };
-        let server = self.hubs[index].id;
+        let index = self.links.get(&link).copied();
+        // A link that closes has its set-ups settled, and is believed in nothing else.
+        let settles = matches!(
+            from,
+            FromHub::GivenUp { .. }
+                | FromHub::Broken(..)
+                | FromHub::Unreachable(..)
+                | FromHub::NotSent(..)
+                | FromHub::Closed
+        );
+        if index.is_none() && !(settles && self.closing.contains(&link)) {
+            return;
+        }
         match from {
             FromHub::Stands(name, description) => self.stands(now, link, name, description),
             FromHub::Released(name, cause, note, report) => {
                 let Some((id, call)) = self.at_link(link, name) else {
-                    if report != Report::default() {
-                        self.tell(now, Event::Probed(server, Outcome::Success, report));
-                    }
+                    self.probed(now, index, report);
                     // A call from before this start. Danger: one that ended here must not end twice.
                     if !self.by_name.contains_key(&name) && !self.ended.contains_key(&name) {
                         for front in 0..self.fronts.len() {
@@ -467,7 +507,7 @@
                     }
                     return;
                 };
-                let outcome = outcome_of(call.standing, cause, note);
+                let outcome = ends::outcome(Seen::Released(cause, note), call.standing, None);
                 if call.standing {
                     let (front, origin) = (call.front, call.origin);
                     self.to_front(front, ToFront::Release(Some(origin), name, cause));
@@ -475,20 +515,24 @@
                 self.end_attempt(now, id, outcome, note == Note::Engaged, report);
             }
             FromHub::GivenUp { attempt, call, began } => {
-                let ending = self.attempt(call, attempt).map(|(id, out)| (id, out.ending));
-                if let Some((id, ending)) = ending {
-                    // Never begun: it proves that nothing ran, and no pause is due.
-                    let ending = ending.unwrap_or(Outcome::Withdrawn);
-                    let outcome = if began { ending } else { Outcome::Unreachable };
-                    self.end_attempt(now, id, outcome, false, Report::default());
-                }
+                self.over(now, call, attempt, if began { Seen::GivenUp } else { Seen::TakenBack });
+            }
+            FromHub::Broken(name, attempt) => self.over(now, name, attempt, Seen::Lost),
+            FromHub::Unreachable(name, attempt) => self.over(now, name, attempt, Seen::Unreachable),
+            FromHub::NotSent(name, attempt) => {
+                let late = self.attempt(name, attempt).is_none_or(|(_, out)| now >= out.until);
+                self.over(now, name, attempt, if late { Seen::Late } else { Seen::Drained });
             }
-            FromHub::Broken(name, attempt) => self.lost(now, name, attempt, Outcome::Broken),
-            FromHub::Unreachable(name, attempt) => self.lost(now, name, attempt, Outcome::Unreachable),
-            FromHub::NotSent(name, attempt) => self.lost(now, name, attempt, Outcome::Void),
             FromHub::State(report) => {
-                self.hubs[index].heard = true;
-                self.tell(now, Event::Probed(server, Outcome::Success, report));
+                if let Some(index) = index {
+                    self.hubs[index].heard = true;
+                }
+                self.probed(now, index, report);
+            }
+            FromHub::Closed => {
+                self.closing.remove(&link);
+                // Guards against a link that forgot one: with its connections closed, nothing is out there.
+                self.cut(now, link, |_| true);
             }
             FromHub::Dead => self.cut(now, link, |call| call.standing),
             FromHub::Media(name, frame) => {
@@ -500,6 +544,12 @@
         }
     }
 
+    fn probed(&mut self, now: Micros, index: Option<usize>, report: Report) {
+        if let Some(index) = index.filter(|_| report != Report::default()) {
+            self.tell(now, Event::Probed(self.hubs[index].id, Outcome::Success, report));
+        }
+    }
+
     fn stands(&mut self, now: Micros, link: LinkId, name: CallName, description: Description) {
         let id = self.by_name.get(&name).copied();
         let call = id.and_then(|id| self.calls.get_mut(&id));
@@ -531,13 +581,11 @@
         }
     }
 
-    fn lost(&mut self, now: Micros, name: CallName, attempt: u64, outcome: Outcome) {
+    /// A link saw an attempt end before its call stood.
+    fn over(&mut self, now: Micros, name: CallName, attempt: u64, seen: Seen) {
         let Some((id, out)) = self.attempt(name, attempt) else { return };
-        // Given up while its connection was lost: what was decided first counts.
-        let outcome = match (out.ending, outcome) {
-            (Some(ending), Outcome::Broken) => ending,
-            _ => outcome,
-        };
+        let outcome = ends::outcome(seen, false, out.ending);
+        // One that stands is ended by its hub alone.
         if self.calls.get(&id).is_some_and(|c| !c.standing) {
             self.end_attempt(now, id, outcome, false, Report::default());
         }
@@ -545,15 +593,16 @@
 
     /// What a hub had of these calls is over: its process is dead or gone.
     fn cut(&mut self, now: Micros, link: LinkId, which: impl Fn(&Call) -> bool) {
-        let had = |c: &&Call| which(c) && c.out.as_ref().is_some_and(|o| o.link == link);
-        let cut: Vec<CallId> = self.calls.values().filter(had).map(|c| c.id).collect();
-        for id in cut {
-            let Some(call) = self.calls.get(&id) else { continue };
+        let at = self.at.range((link, CallId(0))..=(link, CallId(u64::MAX)));
+        let at: Vec<CallId> = at.map(|(_, id)| *id).collect();
+        for id in at {
+            let Some(call) = self.calls.get(&id).filter(|c| which(c)) else { continue };
             if call.standing {
                 let message = ToFront::Release(Some(call.origin), call.name, Cause::TEMPORARY_FAILURE);
                 self.to_front(call.front, message);
             }
-            self.end_attempt(now, id, Outcome::Broken, false, Report::default());
+            let outcome = ends::outcome(Seen::Lost, call.standing, call.out.as_ref().and_then(|o| o.ending));
+            self.end_attempt(now, id, outcome, false, Report::default());
         }
     }
 
@@ -572,9 +621,10 @@
     fn end_attempt(&mut self, now: Micros, id: CallId, outcome: Outcome, number_busy: bool, report: Report) {
         let Some(call) = self.calls.get_mut(&id) else { return };
         let Some(out) = call.out.take() else { return };
+        self.at.remove(&(out.link, id));
         call.standing = false;
         tracing::debug!(call = %call.name, attempt = out.number, link = out.link.0, ?outcome, "ended");
-        if matches!(outcome, Outcome::TimedOut | Outcome::Broken | Outcome::Withdrawn) {
+        if outcome.awaits_release() {
             call.not_before = now + self.limits.release;
         }
         let end = End {
@@ -631,13 +681,11 @@
     /// Where that hub's state is. Danger: hubs are replaced for as long as the program runs; the state of
     /// the one that has been gone longest makes room for a new one, which gets an id of its own.
     fn hub(&mut self, hub: &Hub) -> Option<usize> {
-        if let Some(index) = self.hubs.iter().position(|h| *h.uid == *hub.uid) {
-            return Some(index);
+        if let Some(index) = self.by_uid.get(&*hub.uid) {
+            return Some(*index);
         }
-        let gone: Vec<usize> = (0..self.hubs.len()).filter(|i| self.hubs[*i].forgettable()).collect();
-        let oldest = gone.iter().copied().min_by_key(|i| self.hubs[*i].told);
-        let room = oldest.filter(|_| gone.len() >= GONE_MOST);
-        if room.is_none() && self.hubs.len() >= HUBS_MOST {
+        let oldest = self.gone.first().copied().filter(|_| self.gone.len() >= GONE_MOST);
+        if oldest.is_none() && self.hubs.len() >= HUBS_MOST {
             return None;
         }
         self.last_hub += 1;
@@ -653,21 +701,31 @@
             heard: false,
             fixed: false,
             fresh: true,
+            named: 0,
         };
-        match room {
-            Some(index) => self.hubs[index] = state,
+        let index = match oldest {
+            Some(oldest) => {
+                self.gone.remove(&oldest);
+                let old = &self.hubs[oldest.1];
+                self.by_uid.remove(&old.uid);
+                self.by_id.remove(&old.id);
+                oldest.1
+            }
+            None => self.hubs.len(),
+        };
+        self.by_uid.insert(state.uid.clone(), index);
+        self.by_id.insert(state.id, index);
+        match oldest {
+            Some(_) => self.hubs[index] = state,
             None => self.hubs.push(state),
         }
-        Some(room.unwrap_or(self.hubs.len() - 1))
+        Some(index)
     }
 
-    fn list(&mut self, now: Micros, all: bool, hubs: Vec<Hub>) {
-        let mut absent: Vec<usize> = Vec::new();
-        if all {
-            let named = |h: &HubState| h.fixed || hubs.iter().any(|n| *n.uid == *h.uid);
-            absent = (0..self.hubs.len()).filter(|i| !named(&self.hubs[*i])).collect();
-        }
-        for hub in &hubs {
+    fn list(&mut self, now: Micros, news: News) {
+        self.lists += 1;
+        let mut named: Vec<usize> = Vec::with_capacity(news.hubs.len());
+        for hub in &news.hubs {
             let Some(index) = self.hub(hub) else { continue };
             let state = &mut self.hubs[index];
             // A start or an address that differs is another process: what the old one had is cut.
@@ -682,56 +740,81 @@
                 tracing::debug!(hub = %state.uid, phase = ?hub.phase, endpoint = %state.endpoint, other, "listed");
             }
             state.phase = hub.phase;
-            if other || hub.phase == Phase::Gone {
+            state.named = self.lists;
+            if other {
                 self.close(now, index);
             }
-        }
-        for index in absent {
-            self.hubs[index].phase = Phase::Gone;
-            self.close(now, index);
-        }
-        for index in 0..self.hubs.len() {
-            let state = &mut self.hubs[index];
-            if state.phase == Phase::Up && state.link.is_none() {
-                self.last_link += 1;
-                let link = LinkId(self.last_link);
-                state.link = Some((link, (self.connect)(link, &state.endpoint)));
-                self.links.insert(link, index);
-            }
-            let told = match state.phase {
-                Phase::Up => None,
-                _ => Some(state.told.unwrap_or(now)),
-            };
-            if state.told != told {
-                state.told = told;
-                let message = ToHub::NotAfter(told.map(|t| t + self.limits.drain_grace));
-                if let Some(link) = state.link.as_ref().map(|l| l.0) {
-                    self.to_hub(link, message);
-                }
+            named.push(index);
+        }
+        if news.all {
+            let absent = |h: &HubState| h.named != self.lists && !h.fixed && h.phase != Phase::Gone;
+            let absent: Vec<usize> = (0..self.hubs.len()).filter(|i| absent(&self.hubs[*i])).collect();
+            for index in absent {
+                self.hubs[index].phase = Phase::Gone;
+                named.push(index);
             }
         }
-        let entry = |h: &HubState| Entry { server: h.id, place: h.place, phase: h.phase, born: h.born };
-        let (kind, entries) = match self.listed {
-            _ if all => (ListKind::Full, self.hubs.iter().map(entry).collect()),
-            false => (ListKind::Saved, self.hubs.iter().map(entry).collect()),
-            true => {
-                let named = |h: &&HubState| hubs.iter().any(|n| *n.uid == *h.uid);
-                (ListKind::Changes, self.hubs.iter().filter(named).map(entry).collect())
+        named.sort_unstable();
+        named.dedup();
+        for index in &named {
+            self.place(now, *index, news.told.min(now));
+        }
+        let entry =
+            |h: &HubState| Entry { server: h.id, place: h.place, phase: h.phase, born: h.born, told: h.told };
+        let (kind, entries) = match self.listed && !news.all {
+            true => (ListKind::Changes, named.iter().map(|i| entry(&self.hubs[*i])).collect()),
+            false => {
+                let kind = if news.all { ListKind::Full } else { ListKind::Saved };
+                (kind, self.hubs.iter().filter(|h| h.phase != Phase::Gone).map(entry).collect())
             }
         };
-        self.listed |= all;
+        self.listed |= news.all;
         if self.memory.is_some() {
             self.recall(now);
         }
         self.tell(now, Event::List(kind, entries));
     }
 
+    /// Has a hub's link be as the hub's phase wants it; a phase that is new counts as told since `told`.
+    fn place(&mut self, now: Micros, index: usize, told: Micros) {
+        if self.hubs[index].phase == Phase::Gone {
+            self.close(now, index);
+        }
+        let state = &mut self.hubs[index];
+        if state.phase == Phase::Up && state.link.is_none() {
+            self.last_link += 1;
+            let link = LinkId(self.last_link);
+            state.link = Some((link, (self.connect)(link, &state.endpoint)));
+            self.links.insert(link, index);
+        }
+        let was = state.told;
+        state.told = match state.phase {
+            Phase::Up => None,
+            _ => Some(was.unwrap_or(told)),
+        };
+        if was != state.told {
+            let message = ToHub::NotAfter(state.told.map(|t| t + self.limits.drain_grace));
+            if let Some(link) = state.link.as_ref().map(|l| l.0) {
+                self.to_hub(link, message);
+            }
+        }
+        if let Some(was) = was {
+            self.gone.remove(&(was, index));
+        }
+        let state = &self.hubs[index];
+        if let Some(told) = state.told.filter(|_| state.forgettable()) {
+            self.gone.insert((told, index));
+        }
+    }
+
     fn close(&mut self, now: Micros, index: usize) {
         if let Some((link, sender)) = self.hubs[index].link.take() {
             let _ = sender.try_send(ToHub::Close);
-            self.cut(now, link, |_| true);
             self.links.remove(&link);
+            self.closing.insert(link);
             self.hubs[index].heard = false;
+            // What stood is over. Danger: a set-up is out until its connection is closed; the link says when.
+            self.cut(now, link, |call| call.standing);
         }
     }
 
@@ -781,7 +864,7 @@
     /// Starts an attempt, unless a rule forbids it: the module's gate keeps the rules, and this
     /// guards them against its bugs and against what happened while its decision was made.
     fn send(&mut self, now: Micros, id: CallId, server: ServerId, timeout: Micros) -> bool {
-        let hub = self.hubs.iter().find(|h| h.id == server);
+        let hub = self.by_id.get(&server).and_then(|i| self.hubs.get(*i));
         let Some((hub, (link, sender))) = hub.and_then(|h| h.link.as_ref().map(|l| (h, l))) else {
             return false;
         };
@@ -811,7 +894,9 @@
             return false;
         }
         tracing::debug!(call = %call.name, attempt = number, link = link.0, hub = %hub.uid, "sent");
-        call.out = Some(Attempt { link: *link, server, copy: call.sent, number, sent: now, ending: None });
+        call.out =
+            Some(Attempt { link: *link, server, copy: call.sent, number, sent: now, until, ending: None });
+        self.at.insert((*link, id));
         call.sent += 1;
         self.wheel.add(until, Due::Attempt(id, number));
         true
@@ -850,19 +935,6 @@
     }
 }
 
-/// What a release means, before the call stands and after.
-fn outcome_of(standing: bool, cause: Cause, note: Note) -> Outcome {
-    match (standing, cause) {
-        (true, Cause::NORMAL | Cause(31)) => Outcome::Success,
-        (true, _) => Outcome::Broken,
-        (false, Cause::NO_CIRCUIT) if note == Note::Throttled => Outcome::ProcessorFull,
-        (false, Cause::NO_CIRCUIT) => Outcome::Overloaded,
-        (false, Cause::TIMER_EXPIRY) => Outcome::Void,
-        (false, Cause::TEMPORARY_FAILURE) => Outcome::Broken,
-        (false, _) => Outcome::Failure,
-    }
-}
-
 /// The number called, as the module knows it: its hex digits, or a hash of other text.
 fn number_of(text: &str) -> Option<u64> {
     let hash = |t: &str| {
--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -126,7 +126,7 @@
     NotAfter(Option<Micros>),
     /// A media frame of a call that stands.
     Media(CallName, Description),
-    /// The hub is gone: end all.
+    /// The hub is gone: end all. What is open is settled, then [`FromHub::Closed`] comes.
     Close,
 }
 
@@ -152,6 +152,8 @@
     Unreachable(CallName, u64),
     /// The set-up's time was up, or the hub drains, before its first byte: it never ran.
     NotSent(CallName, u64),
+    /// The link ends as it was told to, its connections are closed, and all its set-ups are settled.
+    Closed,
     /// The state of the hub.
     State(Report),
     /// The hub's process is dead, and the calls that stood there are cut. Set-ups that were open are told of
@@ -191,6 +193,17 @@
     pub born: Option<Micros>,
 }
 
+/// News of the list of hubs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct News {
+    /// The whole list, not only what has changed.
+    pub all: bool,
+    /// The hubs named.
+    pub hubs: Vec<Hub>,
+    /// Since when this counts as told, at the earliest: it may have been in the change log for a while.
+    pub told: Micros,
+}
+
 /// All that reaches the core.
 #[derive(Clone, Debug)]
 pub enum Input {
@@ -206,8 +219,10 @@
     Hub(LinkId, FromHub),
     /// The program is to end: what is still open at this time is refused.
     Stop(Micros),
-    /// News of the list: the whole of it, or changes.
-    List(bool, Vec<Hub>),
+    /// News of the list.
+    List(News),
+    /// The change log was asked and has no more to tell than what came before this.
+    Current,
     /// The program is about to end: what is believed is to be handed out now.
     Keep,
 }
--- a/src/iax2/hub.rs
+++ b/src/iax2/hub.rs
@@ -34,8 +34,6 @@
     session: Session,
     name: CallName,
     attempt: u64,
-    /// Any frame came from the hub: the set-up reached it.
-    heard: bool,
     format: u32,
     state: State,
     media: Stream,
@@ -80,10 +78,21 @@
                     self.out.extend(call.media.send(&media, &mut call.session, now));
                 }
             }
-            ToHub::Close => {}
+            ToHub::Close => self.close(now),
         }
     }
 
+    /// Gives up all set-ups that are out; each may have run.
+    fn close(&mut self, now: Micros) {
+        let out = self.calls.values().filter(|c| c.state == State::Out);
+        let out: Vec<(CallName, u64)> = out.map(|c| (c.name, c.attempt)).collect();
+        for (call, attempt) in out {
+            self.hang_up(now, call, Ending::GivenUp);
+            self.news.push(FromHub::Broken(call, attempt));
+        }
+        self.news.push(FromHub::Closed);
+    }
+
     fn set_up(&mut self, now: Micros, set_up: SetUp) {
         let late = now >= set_up.until || self.not_after.is_some_and(|t| now >= t);
         if late || self.calls.len() >= CALLS_MOST || self.by_name.contains_key(&set_up.call) {
@@ -108,7 +117,6 @@
             session: Session::new(local, 0, now),
             name: set_up.call,
             attempt: set_up.attempt,
-            heard: false,
             format,
             state: State::Out,
             media: Stream::default(),
@@ -168,7 +176,6 @@
     fn inside(&mut self, now: Micros, local: u16, full: &Full) {
         let Some(call) = self.calls.get_mut(&local) else { return };
         let verdict = call.session.receive(now, full, &mut self.out);
-        call.heard = true;
         let (name, attempt, state) = (call.name, call.attempt, call.state);
         if let State::Over(_) = state {
             if verdict == Verdict::Unknown {
@@ -271,13 +278,12 @@
         }
     }
 
-    /// The hub's port is closed: its process is dead. What it never answered never ran there.
+    /// The hub's port is closed: its process is dead. Danger: the port is told for the socket, not for a
+    /// datagram, so that it is no proof of what never ran: a NEW may have reached the process before it died.
     pub fn refused(&mut self) {
         for call in std::mem::take(&mut self.calls).into_values() {
-            match (call.state, call.heard) {
-                (State::Out, false) => self.news.push(FromHub::Unreachable(call.name, call.attempt)),
-                (State::Out, true) => self.news.push(FromHub::Broken(call.name, call.attempt)),
-                _ => {}
+            if call.state == State::Out {
+                self.news.push(FromHub::Broken(call.name, call.attempt));
             }
         }
         self.by_name.clear();
@@ -316,9 +322,23 @@
     let socket = loop {
         match open(local, hub).await {
             Ok(socket) => break socket,
-            Err(error) => {
-                tracing::warn!(%hub, "IAX2 hub: {error}");
-                tokio::time::sleep(REOPEN).await;
+            Err(error) => tracing::warn!(%hub, "IAX2 hub: {error}"),
+        }
+        // Danger: a socket that does not open must not leave set-ups without an end.
+        let again = tokio::time::sleep(REOPEN);
+        tokio::pin!(again);
+        loop {
+            let news = tokio::select! {
+                () = &mut again => break,
+                command = commands.recv() => match command {
+                    None | Some(ToHub::Close) => FromHub::Closed,
+                    Some(ToHub::SetUp(s)) => FromHub::Unreachable(s.call, s.attempt),
+                    Some(_) => continue,
+                },
+            };
+            let closed = matches!(news, FromHub::Closed);
+            if core.send(Input::Hub(id, news)).await.is_err() || closed {
+                return;
             }
         }
     };
@@ -326,7 +346,8 @@
     let mut ticks = tokio::time::interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut datagram = vec![0; DATAGRAM_MOST];
-    loop {
+    let mut closed = false;
+    while !closed {
         tokio::select! {
             received = socket.recv(&mut datagram) => match received {
                 Ok(length) => link.receive(clock.now(), &datagram[..length]),
@@ -334,8 +355,14 @@
                 Err(_) => {}
             },
             command = commands.recv() => match command {
-                None | Some(ToHub::Close) => return,
-                Some(command) => link.command(clock.now(), command),
+                None => {
+                    closed = true;
+                    link.command(clock.now(), ToHub::Close);
+                }
+                Some(command) => {
+                    closed = matches!(command, ToHub::Close);
+                    link.command(clock.now(), command);
+                }
             },
             _ = ticks.tick() => link.tick(clock.now()),
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -179,6 +179,8 @@
     pub phase: Phase,
     /// Its latest start; `None`: long ago.
     pub born: Option<Micros>,
+    /// Since when its phase counts as told, at the earliest; `None`: from now on.
+    pub told: Option<Micros>,
 }
 
 /// What kind of news a list is.
@@ -217,6 +219,18 @@
     Void,
 }
 
+impl Outcome {
+    /// Whether it proves that the set-up never ran.
+    pub fn proves_unrun(self) -> bool {
+        matches!(self, Outcome::Overloaded | Outcome::ProcessorFull | Outcome::Unreachable | Outcome::Void)
+    }
+
+    /// Whether what the set-up held may stay taken for a while, so that the call must wait.
+    pub fn awaits_release(self) -> bool {
+        matches!(self, Outcome::TimedOut | Outcome::Broken | Outcome::Withdrawn)
+    }
+}
+
 /// A new call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct NewCall {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,7 +29,7 @@
 //! };
 //! let mut actions = Vec::new();
 //! let mut gateway = Controller::new(settings, 7, Micros(0))?;
-//! let entry = Entry { server: ServerId(40), place: 0, phase: Phase::Up, born: None };
+//! let entry = Entry { server: ServerId(40), place: 0, phase: Phase::Up, born: None, told: None };
 //! gateway.handle(Micros(0), Event::List(ListKind::Saved, vec![entry]), &mut actions);
 //! let call = NewCall {
 //!     id: CallId(1), class: 0, place: 0, number: None, deadline: Micros(3_000_000),
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -7,7 +7,7 @@
 use crate::interface::*;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// A reported or derived share holds this long (design: 5 s where no period is told).
 const SHARE_PERIOD: Micros = Micros(5_000_000);
@@ -384,8 +384,9 @@
             return;
         }
         if kind != ListKind::Changes {
+            let named: BTreeSet<ServerId> = entries.iter().map(|e| e.server).collect();
             for (id, server) in self.servers.iter_mut() {
-                if !entries.iter().any(|e| e.server == *id) {
+                if !named.contains(id) {
                     (server.up, server.drains_until) = (false, Micros(0));
                 }
             }
@@ -402,7 +403,7 @@
             server.place = entry.place;
             let grace = self.set.drain_grace - DRAIN_MARGIN;
             server.drains_until = match entry.phase {
-                Phase::Draining if server.up && !new => now + grace,
+                Phase::Draining if server.up && !new => entry.told.unwrap_or(now) + grace,
                 Phase::Draining => server.drains_until,
                 _ => Micros(0),
             };
@@ -691,16 +692,15 @@
             return;
         }
         call.out = None;
+        call.may_have_run |= !end.outcome.proves_unrun();
         match end.outcome {
             Outcome::Overloaded | Outcome::ProcessorFull | Outcome::Unreachable | Outcome::Failure
                 if !end.number_busy =>
             {
                 call.tried.push(end.server);
-                call.may_have_run |= end.outcome == Outcome::Failure;
                 self.route(id, actions);
             }
-            Outcome::TimedOut | Outcome::Broken | Outcome::Withdrawn => {
-                call.may_have_run = true;
+            outcome if outcome.awaits_release() => {
                 call.not_before = self.now + self.set.release;
                 actions.push(wake(call.not_before, id, AGAIN_TIMER));
             }
--- a/src/main.rs
+++ b/src/main.rs
@@ -22,13 +22,40 @@
 const IAX2: &str = "iax2:";
 /// After SIGTERM callers still come for a while; nothing ends before this.
 const STAY: Duration = Duration::from_millis(800);
-/// What is still open this long after SIGTERM is refused: SIGKILL comes no sooner than after 3.7 s.
-const LAST: Duration = Duration::from_millis(3_200);
-/// ... and so long is left for the last answers to be written.
+/// SIGKILL comes no sooner after SIGTERM than the longest deadline, but counted as this at most, and
+const DEADLINE_MOST: Duration = Duration::from_secs(3);
+/// ... this together.
+const KILLED_AFTER: Duration = Duration::from_millis(700);
+/// What is still open so long before SIGKILL is refused,
+const REFUSED_BEFORE: Duration = Duration::from_millis(500);
+/// ... and the program ends so long before it, with whatever is not written then.
+const ENDED_BEFORE: Duration = Duration::from_millis(200);
+/// Once nothing is owed, so long is left for what is under way elsewhere.
 const FLUSH: Duration = Duration::from_millis(100);
+/// How often it is looked whether anything is owed at the end.
+const OWED_EVERY: Duration = Duration::from_millis(10);
 /// What was learnt is waited for no longer at the end: SIGKILL is near.
 const HAND_OVER: Duration = Duration::from_millis(250);
 
+/// How long after SIGTERM what is left comes to its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Ending {
+    /// What is still open is refused.
+    refused: Duration,
+    /// The program ends.
+    over: Duration,
+}
+
+impl Ending {
+    /// In time for the SIGKILL, which comes the sooner the shorter the longest deadline is.
+    fn before_kill(longest: Option<Micros>) -> Ending {
+        let longest = Duration::from_micros(longest.unwrap_or_default().0);
+        let killed = longest.min(DEADLINE_MOST) + KILLED_AFTER;
+        let before = |time: Duration| killed.saturating_sub(time).max(STAY);
+        Ending { refused: before(REFUSED_BEFORE), over: before(ENDED_BEFORE) }
+    }
+}
+
 fn configured() -> Result<Config, ConfigError> {
     Config::from_environment(|name| std::env::var(name).ok())
 }
@@ -106,7 +133,8 @@
         None => None,
     };
     let mut seq = 0;
-    let known = feed::inputs(config.known.clone(), &mut seq);
+    // Danger: a drain that stood in the list of the start was told long before, to another process perhaps.
+    let known = feed::inputs(config.known.clone(), &mut seq, Micros(0));
     known.into_iter().for_each(|input| core.handle(clock.now(), input));
     let iax2_hub = |h: &Iax2Hub| Hub {
         uid: h.uid.clone(),
@@ -118,14 +146,23 @@
     core.fix(clock.now(), operator.iax2_hubs.iter().map(iax2_hub).collect());
     tokio::spawn(core::run(core, queue, clock));
     let (change_log, addresses) = watch::channel(config.change_log);
-    tokio::spawn(feed::run(addresses, seq, inputs.clone()));
+    tokio::spawn(feed::run(addresses, seq, clock, inputs.clone()));
     tokio::spawn(reload(hangup, change_log));
-    let sockets = config.limits.sockets;
-    let serving = front::run(FrontId(0), listener, sockets, clock, inputs.clone(), to_front, watched.clone());
+    let owed = front::Owed::default();
+    let desk = front::Desk {
+        id: FrontId(0),
+        sockets: config.limits.sockets,
+        clock,
+        core: inputs.clone(),
+        status: watched.clone(),
+        owed: owed.clone(),
+    };
+    let serving = front::run(desk, listener, to_front);
+    let ending = Ending::before_kill(config.settings.classes.iter().map(|c| c.deadline).max());
     tracing::info!(name = config.name, "serving at {}", config.listen);
     let stop = async {
         tokio::select! { _ = terminate.recv() => {}, _ = interrupt.recv() => {} }
-        wind_down(inputs.clone(), clock, watched).await;
+        wind_down(inputs.clone(), clock, watched, owed, ending).await;
         if let Some(saved) = keeping {
             hand_over(inputs, clock, saved).await;
         }
@@ -187,12 +224,37 @@
 }
 
 /// Answers all that is open while callers still come, and ends as soon as nothing is owed.
-async fn wind_down(inputs: mpsc::Sender<Input>, clock: Clock, mut status: watch::Receiver<Status>) {
+async fn wind_down(
+    inputs: mpsc::Sender<Input>,
+    clock: Clock,
+    status: watch::Receiver<Status>,
+    owed: front::Owed,
+    ending: Ending,
+) {
     tracing::info!("ending");
-    let start = Instant::now();
-    let by = clock.now() + Micros(LAST.as_micros() as u64);
+    let end = Instant::now() + ending.over;
+    let by = clock.now() + Micros(ending.refused.as_micros() as u64);
     let _ = inputs.send(Input::Stop(by)).await;
     sleep(STAY).await;
-    let _ = tokio::time::timeout_at(start + LAST, status.wait_for(|s| s.unanswered == 0)).await;
-    sleep(FLUSH).await;
+    // Danger: an answer that the core has given is not one that the caller has: where the processor is short
+    // it may still wait to be written, and would be lost.
+    while Instant::now() < end && (status.borrow().unanswered > 0 || owed.count() > 0) {
+        sleep(OWED_EVERY).await;
+    }
+    let left = end.saturating_duration_since(Instant::now());
+    sleep(FLUSH.min(left)).await;
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_planned_end_is_over_before_the_kill_also_where_deadlines_are_short() {
+        let ending = |ms: u64| Ending::before_kill(Some(Micros(ms * 1000)));
+        let millis = Duration::from_millis;
+        assert_eq!(ending(9_000), Ending { refused: millis(3_200), over: millis(3_500) });
+        assert_eq!(ending(1_200), Ending { refused: millis(1_400), over: millis(1_700) });
+        assert_eq!(ending(100).over, STAY, "callers come for so long in any case");
+    }
 }
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -9,6 +9,7 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
@@ -108,6 +109,44 @@
     }
 }
 
+/// What the front still owes its callers: set-ups without an answer, and connections with something to write.
+#[derive(Clone, Debug, Default)]
+pub struct Owed(Arc<AtomicUsize>);
+
+impl Owed {
+    /// How much that is in all.
+    pub fn count(&self) -> usize {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// One connection's part of it, which ends with the connection.
+struct Debt {
+    all: Owed,
+    own: usize,
+}
+
+impl Debt {
+    fn set(&mut self, own: usize) {
+        self.all.0.fetch_add(own, Ordering::Relaxed);
+        self.all.0.fetch_sub(self.own, Ordering::Relaxed);
+        self.own = own;
+    }
+}
+
+impl Drop for Debt {
+    fn drop(&mut self) {
+        self.set(0);
+    }
+}
+
+/// What a look at a connection's socket brought.
+enum Look {
+    Nothing,
+    Taken,
+    Ended,
+}
+
 /// What the front's tasks share.
 struct Front {
     id: FrontId,
@@ -116,6 +155,7 @@
     core: mpsc::Sender<Input>,
     status: watch::Receiver<Status>,
     board: Mutex<Board>,
+    owed: Owed,
     connections_most: usize,
 }
 
@@ -125,21 +165,30 @@
     }
 }
 
+/// What a front is given to work with.
+pub struct Desk {
+    /// Which of the core's fronts it is.
+    pub id: FrontId,
+    /// Descriptors that the process may hold.
+    pub sockets: usize,
+    /// The clock.
+    pub clock: Clock,
+    /// The core's queue.
+    pub core: mpsc::Sender<Input>,
+    /// How the core is.
+    pub status: watch::Receiver<Status>,
+    /// Where it says what it owes its callers.
+    pub owed: Owed,
+}
+
 /// Serves callers for ever.
-pub async fn run(
-    id: FrontId,
-    listener: TcpListener,
-    sockets: usize,
-    clock: Clock,
-    core: mpsc::Sender<Input>,
-    mut answers: mpsc::Receiver<ToFront>,
-    status: watch::Receiver<Status>,
-) -> io::Result<()> {
+pub async fn run(desk: Desk, listener: TcpListener, mut answers: mpsc::Receiver<ToFront>) -> io::Result<()> {
     let listen = listener.local_addr()?;
+    let Desk { id, sockets, clock, core, status, owed } = desk;
     // Callers hold a third of the descriptors; more are let in as long as the rest is not needed.
     let connections_most = sockets / 2;
     let board = Mutex::default();
-    let front = Arc::new(Front { id, listen, clock, core, status, board, connections_most });
+    let front = Arc::new(Front { id, listen, clock, core, status, board, owed, connections_most });
     let deliverer = front.clone();
     tokio::spawn(async move {
         while let Some(message) = answers.recv().await {
@@ -212,6 +261,7 @@
     used: Instant,
     /// No more is read; the connection ends once all is written.
     ending: bool,
+    debt: Debt,
 }
 
 async fn serve(
@@ -232,6 +282,7 @@
         half_since: Some(Instant::now()),
         used: Instant::now(),
         ending: false,
+        debt: Debt { all: front.owed.clone(), own: 0 },
     };
     connection.run(&stream, &mut commands).await;
     drop(stream);
@@ -275,22 +326,15 @@
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(_) => return,
             }
+            self.debt.set(self.open.len() + usize::from(!self.output.is_empty()));
             if self.output.len() > OUTPUT_MOST || self.ending && self.output.is_empty() {
                 return;
             }
             tokio::select! {
                 readable = stream.readable(), if !self.ending => {
-                    if readable.is_err() {
+                    if readable.is_err() || matches!(self.look(stream).await, Look::Ended) {
                         return;
                     }
-                    match self.input.fill(stream) {
-                        Ok(0) => return,
-                        Ok(_) => {}
-                        Err(error) if error.kind() == io::ErrorKind::WouldBlock => continue,
-                        Err(_) => return,
-                    }
-                    self.used = Instant::now();
-                    self.take_in(self.front.clock.now()).await;
                 }
                 writable = stream.writable(), if !self.output.is_empty() => {
                     if writable.is_err() {
@@ -299,15 +343,27 @@
                 }
                 command = commands.recv() => match command {
                     Some(ToConnection::Core(message)) => self.tell(message).await,
-                    Some(ToConnection::CloseIdle) if self.open.is_empty() && self.output.is_empty() => return,
+                    Some(ToConnection::CloseIdle) if self.open.is_empty() && self.output.is_empty() => {
+                        if !matches!(self.look(stream).await, Look::Taken) {
+                            return;
+                        }
+                    }
                     Some(ToConnection::CloseIdle) => {}
                     None => return,
                 },
-                _ = tokio::time::sleep_until(idle_at), if !busy => return,
+                _ = tokio::time::sleep_until(idle_at), if !busy => {
+                    if self.ending || !matches!(self.look(stream).await, Look::Taken) {
+                        return;
+                    }
+                }
                 // Danger: a caller that stays silent, or half-way through a message, holds a descriptor
                 // for ever and is owed a word. What it has open is failed, so that nobody waits for it.
                 _ = tokio::time::sleep_until(whole_by.unwrap_or(idle_at)), if whole_by.is_some() && !self.ending => {
-                    self.fail_open().await;
+                    match self.look(stream).await {
+                        Look::Nothing => self.fail_open().await,
+                        Look::Taken => {}
+                        Look::Ended => return,
+                    }
                 }
                 // It does not read its last words either.
                 _ = tokio::time::sleep_until(self.used + WHOLE), if self.ending => return,
@@ -315,6 +371,21 @@
         }
     }
 
+    /// Takes in what the socket has. Danger: where the processor is short, a time limit and what came long
+    /// before it are seen at the same moment; a set-up that waits here is taken, and a connection closed for
+    /// its silence would lose it.
+    async fn look(&mut self, stream: &TcpStream) -> Look {
+        match self.input.fill(stream) {
+            Ok(0) => return Look::Ended,
+            Ok(_) => {}
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Look::Nothing,
+            Err(_) => return Look::Ended,
+        }
+        self.used = Instant::now();
+        self.take_in(self.front.clock.now()).await;
+        Look::Taken
+    }
+
     /// Fails the set-ups that are open here, and ends once that is written.
     async fn fail_open(&mut self) {
         let mut open: Vec<(CallName, Open)> = self.open.drain().collect();
--- a/src/net/hub.rs
+++ b/src/net/hub.rs
@@ -159,11 +159,16 @@
 impl Link {
     async fn run(mut self, mut commands: mpsc::Receiver<ToHub>, core: mpsc::Sender<Input>) {
         let mut looks = tokio::time::interval(LOOK);
-        loop {
+        let mut closed = false;
+        while !closed {
             let next_dial = self.next_dial;
             tokio::select! {
                 command = commands.recv() => match command {
-                    None | Some(ToHub::Close) => return,
+                    None | Some(ToHub::Close) => {
+                        self.close_all();
+                        self.news.push(FromHub::Closed);
+                        closed = true;
+                    }
                     Some(command) => self.command(command),
                 },
                 Some(dialled) = self.dials.join_next() => {
@@ -312,24 +317,26 @@
     /// connections, and may run it once it is back. A set-up is over when its connection is closed, not
     /// before, and may have run.
     fn dead(&mut self, now: Instant) {
-        for connection in std::mem::take(&mut self.connections) {
-            tracing::debug!(
-                link = self.id.0,
-                connection = connection.id,
-                open = connection.open.len(),
-                "dead"
-            );
-            for out in self.settle(connection) {
-                if let Out::SetUp(s) = out {
-                    self.news.push(FromHub::Unreachable(s.call, s.attempt));
-                }
-            }
-        }
+        self.close_all();
         self.standing.clear();
         self.alive = now;
         self.news.push(FromHub::Dead);
     }
 
+    /// Closes all connections and settles all set-ups: what has begun may have run, the rest never did.
+    fn close_all(&mut self) {
+        let mut never: Vec<SetUp> = self.waiting.drain(..).collect();
+        for connection in std::mem::take(&mut self.connections) {
+            let open = connection.open.len();
+            tracing::debug!(link = self.id.0, connection = connection.id, open, "closed");
+            never.extend(self.settle(connection).into_iter().filter_map(|out| match out {
+                Out::SetUp(set_up) => Some(set_up),
+                _ => None,
+            }));
+        }
+        self.news.extend(never.into_iter().map(|s| FromHub::Unreachable(s.call, s.attempt)));
+    }
+
     /// Set-ups are out, and all connections that have any have been silent for long.
     fn owes_answers(&self, now: Instant) -> bool {
         let mut owing = self.connections.iter().filter(|c| !c.open.is_empty()).peekable();
@@ -387,10 +394,13 @@
             match binary::parse(input.held()) {
                 Ok(Some(message)) => {
                     let bytes = message.bytes;
-                    let begun = take(&message, connection, &mut self.standing, &mut self.news);
-                    self.answered_begun = self.answered_begun.max(begun);
-                    connection.unheard = None;
                     whole = true;
+                    if !self.is_stale(&message, index) {
+                        let Some(connection) = self.connections.get_mut(index) else { return };
+                        let begun = take(&message, connection, &mut self.standing, &mut self.news);
+                        self.answered_begun = self.answered_begun.max(begun);
+                        connection.unheard = None;
+                    }
                     input.consume(bytes);
                 }
                 Ok(None) => break,
@@ -400,6 +410,7 @@
                 }
             }
         }
+        let Some(connection) = self.connections.get_mut(index) else { return };
         let since = connection.partial.filter(|_| !whole).unwrap_or(connection.heard);
         connection.partial = (!input.held().is_empty()).then_some(since);
         connection.input = input;
@@ -409,6 +420,21 @@
         self.close_spoilt();
     }
 
+    /// Whether it is an answer to an earlier set-up of a call that has been sent again on another connection.
+    /// Danger: the wire names calls, not attempts. Taken for the answer that is awaited, it would tell the
+    /// caller of a call that was given up; released, it would end the attempt that is out.
+    fn is_stale(&self, message: &Message, index: usize) -> bool {
+        let call = CallName(message.call);
+        let here = self.connections.get(index).is_some_and(|c| c.open.contains_key(&call));
+        let out = |out: &Out| matches!(out, Out::SetUp(s) if s.call == call);
+        let has = |c: &Connection| {
+            c.open.contains_key(&call) || c.queue.iter().chain(c.staged.iter().map(|(_, o)| o)).any(out)
+        };
+        message.kind == kind::ANSWER
+            && !here
+            && (self.waiting.iter().any(|s| s.call == call) || self.connections.iter().any(has))
+    }
+
     /// A connection is gone: its set-ups alone are broken, and what had not begun goes on elsewhere.
     fn lost(&mut self, index: usize) {
         let connection = self.connections.remove(index);
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -103,6 +103,7 @@
             other => return Err(format!("entry: expected a known phase, found '{}'", clip(other))),
         },
         born: Some(line.number_or("born", 0)?).filter(|b| *b > 0).map(Micros),
+        told: None,
     })
 }
 
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -33,6 +33,11 @@
     Hub { uid: uid.into(), endpoint: endpoint.into(), place, phase, born: None }
 }
 
+/// News that count as told when they come.
+fn list(all: bool, hubs: Vec<Hub>) -> Input {
+    Input::List(News { all, hubs, told: Micros(u64::MAX) })
+}
+
 impl Desk {
     fn new() -> Desk {
         Desk::with(|_| {})
@@ -56,7 +61,7 @@
         let (status, watched) = watch::channel(Status::default());
         let core = Core::new(&config, vec![sender], connect, status, Micros(START)).expect("sane");
         let mut desk = Desk { core, front, links, status: watched, now: START };
-        for input in feed::inputs(config.known, &mut 0) {
+        for input in feed::inputs(config.known, &mut 0, Micros(0)) {
             desk.tell(input);
         }
         desk
@@ -224,7 +229,7 @@
 #[test]
 fn a_drain_is_told_to_the_link_and_ends_set_ups_after_its_grace() {
     let mut desk = Desk::new();
-    desk.tell(Input::List(false, vec![hub("b", "10.0.0.2:1", 1, Phase::Draining)]));
+    desk.tell(list(false, vec![hub("b", "10.0.0.2:1", 1, Phase::Draining)]));
     let until = Micros(desk.now + 2 * SECOND);
     assert!(matches!(desk.command(1), Some(ToHub::NotAfter(Some(t))) if t == until));
     desk.pass(2 * SECOND);
@@ -246,7 +251,7 @@
     desk.hear(1, FromHub::Dead);
     assert!(matches!(desk.said(), Some(ToFront::Release(_, CallName(2), Cause(41)))));
     let replaced = vec![hub("a", "", 0, Phase::Gone), hub("c", "10.0.0.1:1", 0, Phase::Up)];
-    desk.tell(Input::List(false, replaced));
+    desk.tell(list(false, replaced));
     assert!(matches!(desk.said(), Some(ToFront::Release(_, CallName(1), Cause(41)))));
     assert!(matches!(desk.command(0), Some(ToHub::Close)));
     let links = desk.links.lock().expect("lock");
@@ -275,22 +280,132 @@
     assert!(desk.set_up(0).or(desk.set_up(1)).is_some());
 }
 
+#[test]
+fn a_hub_that_is_replaced_has_its_set_ups_out_until_its_connections_are_closed() {
+    let mut desk = Desk::new();
+    desk.offer(1, 0);
+    let attempt = desk.set_up(0).expect("sent");
+    desk.tell(list(false, vec![hub("a", "", 0, Phase::Gone)]));
+    assert!(matches!(desk.command(0), Some(ToHub::NotAfter(_)) | Some(ToHub::Close)));
+    desk.pass(SECOND / 2);
+    assert!(desk.command(1).is_none(), "no second copy while the first may still run");
+    desk.stands(0, 1);
+    assert!(desk.said().is_none(), "nor is anything else believed of a link that closes");
+    desk.hear(0, FromHub::Broken(CallName(1), attempt));
+    desk.hear(0, FromHub::Closed);
+    desk.pass(SECOND / 10);
+    assert!(desk.command(1).is_none(), "the pause");
+    desk.pass(SECOND / 5);
+    assert!(desk.set_up(1).is_some());
+    // A link that forgets a set-up leaves none out for ever.
+    desk.tell(list(false, vec![hub("b", "", 1, Phase::Gone), hub("c", "10.0.0.3:1", 0, Phase::Up)]));
+    desk.hear(1, FromHub::Closed);
+    desk.pass(SECOND / 2);
+    assert!(desk.set_up(2).is_some());
+}
+
+#[test]
+fn a_drain_counts_from_when_the_change_log_may_have_told_it() {
+    let mut desk = Desk::new();
+    let told = Micros(START - SECOND);
+    let hubs = vec![hub("b", "10.0.0.2:1", 1, Phase::Draining)];
+    desk.tell(Input::List(News { all: false, hubs: hubs.clone(), told }));
+    assert!(matches!(desk.command(1), Some(ToHub::NotAfter(Some(t))) if t == told + Micros(2 * SECOND)));
+    desk.pass(SECOND / 2);
+    desk.tell(list(false, hubs));
+    assert!(desk.command(1).is_none(), "told again, it counts from the first time");
+    // A start finds drains in its list that were told long before.
+    let drains =
+        [site::target("a", "10.0.0.1:1", 0, "terminating"), site::target("b", "10.0.0.2:1", 1, "in_service")];
+    let mut desk = Desk::with(|config| config.known = site::config(&drains).known);
+    for call in 0..10 {
+        desk.offer(call, 0);
+        assert!(desk.set_up(0).is_some(), "the only link is the other hub's");
+        desk.stands(0, call);
+    }
+    assert_eq!(&*desk.links.lock().expect("lock")[0].endpoint, "10.0.0.2:1");
+}
+
+#[test]
+fn a_test_is_passed_once_the_change_log_was_heard() {
+    let mut desk = Desk::with(|config| config.change_log = "10.0.0.9:1".parse().ok());
+    desk.hear(0, FromHub::State(Report::default()));
+    desk.hear(1, FromHub::State(Report::default()));
+    desk.pass(SECOND / 2);
+    assert!(!desk.status.borrow().settled, "a drain may stand there that the start's list lacks");
+    desk.tell(Input::Current);
+    desk.pass(10_000);
+    assert!(desk.status.borrow().settled);
+    let mut silent = Desk::with(|config| config.change_log = "10.0.0.9:1".parse().ok());
+    silent.pass(SECOND + 10_000);
+    assert!(silent.status.borrow().settled, "one that cannot be reached keeps nobody out for ever");
+}
+
+/// Each way in which an attempt can end, for each effect: whether the call is sent again, when, and how it
+/// is answered if it is not.
+#[test]
+fn each_end_of_an_attempt_is_followed_as_its_effect_allows() {
+    let released = |cause, note| FromHub::Released(CallName(1), Cause(cause), note, Report::default());
+    let attempt = 1;
+    let given_up = |began| FromHub::GivenUp { attempt, call: CallName(1), began };
+    let ends = [
+        (released(34, Note::Congestion), false, false),
+        (released(34, Note::Throttled), false, false),
+        (FromHub::Unreachable(CallName(1), attempt), false, false),
+        (FromHub::NotSent(CallName(1), attempt), false, false),
+        (given_up(false), false, false),
+        (released(17, Note::None), true, false),
+        (released(47, Note::None), true, false),
+        (released(41, Note::None), true, true),
+        (FromHub::Broken(CallName(1), attempt), true, true),
+        (given_up(true), true, true),
+    ];
+    for effect in [Effect::Free, Effect::Guarded, Effect::SingleShot] {
+        for (end, ran, pause) in &ends {
+            let case = format!("{effect:?}, {end:?}");
+            let mut desk = Desk::with(|config| config.settings.classes[0].effect = effect);
+            desk.offer(1, 0);
+            assert_eq!(desk.set_up(0), Some(attempt), "{case}");
+            desk.hear(0, end.clone());
+            desk.pass(190_000);
+            let at_once = desk.set_up(0).or(desk.set_up(1)).is_some();
+            desk.pass(20_000);
+            let later = desk.set_up(0).or(desk.set_up(1)).is_some();
+            let again = effect == Effect::Free || !ran;
+            assert_eq!((at_once, later), (again && !pause, again && *pause), "{case}");
+            if !again {
+                assert!(matches!(desk.said(), Some(ToFront::Fail(..))), "{case}: it may have run");
+                assert!(desk.said().is_none(), "{case}: one answer");
+            }
+        }
+        // Moot, or too late for its first byte: nothing ran, and it may be refused.
+        for end in [released(102, Note::None), FromHub::NotSent(CallName(1), attempt)] {
+            let late = matches!(end, FromHub::NotSent(..));
+            let mut desk = Desk::with(|config| config.settings.classes[0].effect = effect);
+            desk.offer(1, 0);
+            desk.now += if late { 3 * SECOND } else { 0 };
+            desk.hear(0, end);
+            assert!(matches!(desk.said(), Some(ToFront::Refuse(..))), "{effect:?}");
+        }
+    }
+}
+
 #[test]
 fn hubs_that_were_replaced_are_forgotten_and_new_ones_always_taken() {
     let mut desk = Desk::new();
     let (first, second) = (hub("a", "10.0.0.1:1", 0, Phase::Gone), hub("a", "10.0.0.1:1", 0, Phase::Up));
-    desk.tell(Input::List(false, vec![first]));
-    desk.tell(Input::List(false, vec![second]));
+    desk.tell(list(false, vec![first]));
+    desk.tell(list(false, vec![second]));
     for number in 0..5_000 {
         desk.now += 1_000;
         let uid = format!("s-{number}");
         // Each at the address of the one before.
-        desk.tell(Input::List(false, vec![hub(&uid, "10.0.0.9:1", 1, Phase::Up)]));
-        desk.tell(Input::List(false, vec![hub(&uid, "", 1, Phase::Gone)]));
+        desk.tell(list(false, vec![hub(&uid, "10.0.0.9:1", 1, Phase::Up)]));
+        desk.tell(list(false, vec![hub(&uid, "", 1, Phase::Gone)]));
     }
-    assert!(desk.core.known_hubs() < 100, "{} hubs known", desk.core.known_hubs());
-    desk.tell(Input::List(false, vec![hub("b", "10.0.0.2:1", 1, Phase::Gone)]));
-    desk.tell(Input::List(false, vec![hub("last", "10.0.0.9:1", 1, Phase::Up)]));
+    assert!(desk.core.known_hubs() < 1100, "{} hubs known", desk.core.known_hubs());
+    desk.tell(list(false, vec![hub("b", "10.0.0.2:1", 1, Phase::Gone)]));
+    desk.tell(list(false, vec![hub("last", "10.0.0.9:1", 1, Phase::Up)]));
     desk.offer(1, 1);
     let last = desk.links.lock().expect("lock").len() - 1;
     assert!(desk.set_up(last).is_some());
@@ -399,7 +514,7 @@
 fn a_planned_end_half_way_through_a_picture_still_gives_a_whole_one() {
     let (mut desk, latest) = keeping(None);
     let hubs = (0..1000).map(|n| hub(&format!("h-{n}"), "10.0.0.9:1", n, Phase::Up)).collect();
-    desk.tell(Input::List(true, hubs));
+    desk.tell(list(true, hubs));
     desk.pass(SECOND + 15_000);
     assert!(latest.borrow().is_none(), "it is being gathered");
     desk.tell(Input::Keep);
@@ -440,7 +555,7 @@
     desk.tell(Input::Keep);
     assert!(latest.borrow_and_update().is_none(), "nothing is known before the first list");
     let hubs = (0..1000).map(|n| hub(&format!("h-{n}"), "10.0.0.9:1", n, Phase::Up)).collect();
-    desk.tell(Input::List(true, hubs));
+    desk.tell(list(true, hubs));
     desk.pass(20_000);
     assert!(latest.borrow().is_none(), "not all at one tick");
     desk.pass(30_000);
@@ -448,7 +563,7 @@
     assert_eq!(picture.hubs.len(), 1000);
     assert_eq!(picture.hold, 8.0);
     // The next comes a second after; at the end one comes at once, without what is gone.
-    desk.tell(Input::List(false, vec![hub("h-3", "", 3, Phase::Gone)]));
+    desk.tell(list(false, vec![hub("h-3", "", 3, Phase::Gone)]));
     desk.pass(900_000);
     assert!(!latest.has_changed().expect("open"));
     desk.tell(Input::Keep);
@@ -462,10 +577,7 @@
     let memory = Memory::new(picture, Ageing::default(), Micros(START)).0;
     let (mut desk, latest) = keeping(Some(memory));
     // b has another address by now: another machine.
-    desk.tell(Input::List(
-        true,
-        vec![hub("a", "10.0.0.1:1", 0, Phase::Up), hub("b", "10.0.0.2:1", 1, Phase::Up)],
-    ));
+    desk.tell(list(true, vec![hub("a", "10.0.0.1:1", 0, Phase::Up), hub("b", "10.0.0.2:1", 1, Phase::Up)]));
     desk.tell(Input::Keep);
     let now_kept = |latest: &watch::Receiver<Option<Arc<Picture>>>, uid: &str| {
         let picture = latest.borrow().clone().expect("handed out");
@@ -477,11 +589,11 @@
     assert_eq!(now_kept(&latest, "b"), Some((1.0, Micros(0))), "nothing is known of it");
     assert_eq!(now_kept(&latest, "late"), Some((0.1, Micros(START - SECOND))));
     // A list that names it later finds it; one that leaves and comes back does not find it again.
-    desk.tell(Input::List(false, vec![hub("late", "10.0.0.3:1", 2, Phase::Up)]));
+    desk.tell(list(false, vec![hub("late", "10.0.0.3:1", 2, Phase::Up)]));
     desk.tell(Input::Keep);
     assert!(now_kept(&latest, "late").expect("kept").0 < 0.2);
-    desk.tell(Input::List(false, vec![hub("late", "10.0.0.3:1", 2, Phase::Gone)]));
-    desk.tell(Input::List(false, vec![hub("late", "10.0.0.3:1", 2, Phase::Up)]));
+    desk.tell(list(false, vec![hub("late", "10.0.0.3:1", 2, Phase::Gone)]));
+    desk.tell(list(false, vec![hub("late", "10.0.0.3:1", 2, Phase::Up)]));
     desk.tell(Input::Keep);
     assert_eq!(now_kept(&latest, "late"), Some((1.0, Micros(0))));
 }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -87,7 +87,7 @@
 
 fn entry(server: u64, phase: Phase, born: u64) -> Entry {
     let born = Some(Micros(born)).filter(|b| b.0 > 0);
-    Entry { server: ServerId(server), place: server as i64, phase, born }
+    Entry { server: ServerId(server), place: server as i64, phase, born, told: None }
 }
 
 fn sent(actions: &[Action]) -> Option<u64> {
@@ -251,6 +251,19 @@
     assert_eq!(desk.dial(7), None);
 }
 
+#[test]
+fn the_grace_of_a_drain_that_was_told_late_counts_from_when_it_may_have_been_told() {
+    for (earlier, takes) in [(SECOND, true), (2 * SECOND, false)] {
+        let mut desk = Desk::new(2);
+        desk.now += 5 * SECOND;
+        let told = Some(Micros(desk.now - earlier));
+        let drains = Entry { told, ..entry(0, Phase::Draining, 0) };
+        desk.tell(Event::List(ListKind::Changes, vec![drains]));
+        desk.report(1, share(1.0));
+        assert_eq!(desk.dial(0).is_some(), takes, "told {earlier} µs earlier");
+    }
+}
+
 #[test]
 fn rule_4_cold_server_gets_an_even_part() {
     let mut desk = Desk::new(1);
--- /dev/null
+++ b/tests/front.rs
@@ -0,0 +1,121 @@
+//! The SIP front on a starved processor, and what it owes its callers.
+
+#[path = "common/site.rs"]
+mod site;
+
+use petreldock::core::*;
+use petreldock::interface::Micros;
+use petreldock::net::front;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+use tokio::time::timeout;
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+struct Desk {
+    address: SocketAddr,
+    inputs: mpsc::Receiver<Input>,
+    answers: mpsc::Sender<ToFront>,
+    owed: front::Owed,
+    _status: watch::Sender<Status>,
+}
+
+async fn desk() -> Desk {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let (core, inputs) = mpsc::channel(QUEUE);
+    let (answers, to_front) = mpsc::channel(ANSWERS);
+    let (sender, status) = watch::channel(Status { settled: true, ..Status::default() });
+    let owed = front::Owed::default();
+    let (id, sockets, clock) = (FrontId(0), 1024, Clock::system());
+    let desk = front::Desk { id, sockets, clock, core, status, owed: owed.clone() };
+    tokio::spawn(front::run(desk, listener, to_front));
+    Desk { address, inputs, answers, owed, _status: sender }
+}
+
+fn message(method: &str, call: u64) -> String {
+    format!(
+        "{method} sip:1@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: {call:016x}\r\nCSeq: 1 {method}\r\n\
+         Call-Kind: voice\r\nAnswer-Within: 30000\r\nContent-Length: 0\r\n\r\n"
+    )
+}
+
+impl Desk {
+    /// A caller whose connection the front has taken in, as its answer to a test shows.
+    async fn caller(&self, silent: bool) -> TcpStream {
+        let mut stream = TcpStream::connect(self.address).expect("it listens");
+        stream.set_nonblocking(true).expect("set");
+        let said = if silent { &message("OPTIONS", 0)[..20] } else { &message("OPTIONS", 0) };
+        stream.write_all(said.as_bytes()).expect("written");
+        let mut bytes = [0; 512];
+        while !silent && stream.read(&mut bytes).is_err() {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        tokio::time::sleep(Duration::from_millis(1)).await;
+        stream
+    }
+
+    async fn offer(&mut self) -> Offer {
+        match timeout(PATIENCE, self.inputs.recv()).await.expect("in time") {
+            Some(Input::Offer(offer)) => offer,
+            other => panic!("a set-up was expected, not {other:?}"),
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_set_up_that_came_before_its_connections_time_was_up_is_taken_however_late_it_is_read() {
+    const EACH: u64 = 12;
+    let mut desk = desk().await;
+    let mut callers = Vec::new();
+    for call in 0..EACH {
+        // Half have said all of a message and are idle from then on, half are in the midst of their first.
+        callers.push((call * 2 + 1, desk.caller(false).await, message("INVITE", call * 2 + 1)));
+        let rest = message("OPTIONS", 0)[20..].to_string() + &message("INVITE", call * 2 + 2);
+        callers.push((call * 2 + 2, desk.caller(true).await, rest));
+    }
+    for (_, stream, text) in &mut callers {
+        stream.write_all(text.as_bytes()).expect("written");
+    }
+    // The processor goes elsewhere for longer than any limit: all of them are over when it is back.
+    std::thread::sleep(Duration::from_millis(5_200));
+    let mut came = Vec::new();
+    for _ in 0..2 * EACH {
+        came.push(desk.offer().await.call.0);
+    }
+    came.sort_unstable();
+    assert_eq!(came, (1..=2 * EACH).collect::<Vec<_>>());
+}
+
+#[tokio::test]
+async fn what_is_owed_counts_until_it_is_written_or_its_caller_is_gone() {
+    let mut desk = desk().await;
+    let mut callers = Vec::new();
+    for call in 1..=3 {
+        let mut stream = desk.caller(false).await;
+        stream.write_all(message("INVITE", call).as_bytes()).expect("written");
+        callers.push((stream, desk.offer().await));
+    }
+    let counts = |count: usize| {
+        let owed = desk.owed.clone();
+        async move {
+            while owed.count() != count {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+        }
+    };
+    timeout(PATIENCE, counts(3)).await.expect("three set-ups");
+    let (stream, offer) = callers.pop().expect("three");
+    desk.answers.send(ToFront::Refuse(offer.origin, offer.call, Micros(0))).await.expect("taken");
+    timeout(PATIENCE, counts(2)).await.expect("one is answered");
+    let mut bytes = Vec::new();
+    stream.set_nonblocking(false).expect("set");
+    stream.set_read_timeout(Some(Duration::from_millis(500))).expect("set");
+    let _ = (&stream).read_to_end(&mut bytes);
+    assert!(bytes.starts_with(b"SIP/2.0 503"), "... and its answer is written");
+    callers.clear();
+    timeout(PATIENCE, counts(0)).await.expect("the others are gone");
+}
--- a/tests/iax2.rs
+++ b/tests/iax2.rs
@@ -454,7 +454,7 @@
     let mut closed = Link::default();
     closed.command(SECOND, set_up(1, 10, Micros(4_000_000)));
     closed.refused();
-    assert!(matches!(closed.news[..], [FromHub::Unreachable(CallName(1), 10), FromHub::Dead]));
+    assert!(matches!(closed.news[..], [FromHub::Broken(CallName(1), 10), FromHub::Dead]));
 }
 
 #[test]
--- a/tests/links.rs
+++ b/tests/links.rs
@@ -59,6 +59,18 @@
         }
     }
 
+    /// Reads as the hub to the end of the connection; the calls whose set-ups came whole.
+    async fn read_to_end(&mut self) -> BTreeSet<u64> {
+        let (mut input, mut calls) = (Vec::new(), BTreeSet::new());
+        let _ = timeout(PATIENCE, self.hub.read_to_end(&mut input)).await.expect("it ends");
+        while let Ok(Some(message)) = binary::parse(&input) {
+            calls.insert(message.call);
+            let used = message.bytes;
+            input.drain(..used);
+        }
+        calls
+    }
+
     /// Reads as the hub until the link has nothing more to write; the calls whose set-ups came.
     async fn read(&mut self) -> BTreeSet<u64> {
         let (mut input, mut calls) = (Vec::new(), BTreeSet::new());
@@ -297,3 +309,42 @@
         assert!(matches!(end, Ok(Ok(0) | Err(_))), "closed by then: {end:?}");
     }
 }
+
+#[tokio::test]
+async fn an_answer_to_what_was_given_up_is_not_taken_for_the_next_attempts() {
+    let mut pair = Pair::new().await;
+    let first = pair.set_up(1).await;
+    pair.commands.send(ToHub::GiveUp(CallName(1), 2)).await.expect("taken");
+    assert!(matches!(pair.news().await, FromHub::GivenUp { attempt: 2, began: true, .. }));
+    let mut give_up = [0; 256];
+    timeout(PATIENCE, pair.hub[first].read(&mut give_up)).await.expect("in time").expect("open");
+    // Keeps the first connection the busier one, so that the call's next attempt takes the other.
+    let busy = pair.set_up(7).await;
+    let again = pair.set_up(1).await;
+    assert_ne!(busy, again);
+    let mut late = Vec::new();
+    binary::write(&mut late, binary::kind::ANSWER, 1, &[(binary::code::DESCRIPTION, b"late")]);
+    pair.hub[busy].write_all(&late).await.expect("written");
+    pair.answer(again, 1).await;
+    let quiet = timeout(Duration::from_millis(100), pair.news.recv()).await;
+    assert!(quiet.is_err(), "the late one means nothing: {quiet:?}");
+}
+
+#[tokio::test]
+async fn a_link_that_is_closed_settles_each_set_up_and_says_when_it_is_done() {
+    let mut desk = stalled().await;
+    desk.commands.send(ToHub::Close).await.expect("taken");
+    let (mut broken, mut unreachable) = (BTreeSet::new(), BTreeSet::new());
+    loop {
+        match desk.news().await {
+            FromHub::Broken(CallName(call), _) => assert!(broken.insert(call)),
+            FromHub::Unreachable(CallName(call), _) => assert!(unreachable.insert(call)),
+            FromHub::Closed => break,
+            other => panic!("{other:?}"),
+        }
+    }
+    assert_eq!(broken.len() + unreachable.len(), SET_UPS as usize);
+    assert!(broken.contains(&0) && unreachable.contains(&(SET_UPS - 1)), "one byte went out, or none");
+    let came = desk.read_to_end().await;
+    assert!(came.is_disjoint(&unreachable), "what never ran never came");
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -81,7 +81,7 @@
     fn list(&mut self, server: u64, phase: Phase, born: u64) {
         self.up.insert(server, phase == Phase::Up);
         let born = Some(Micros(born)).filter(|b| b.0 > 0);
-        let entry = Entry { server: ServerId(server), place: (server % 3) as i64, phase, born };
+        let entry = Entry { server: ServerId(server), place: (server % 3) as i64, phase, born, told: None };
         self.tell(Event::List(ListKind::Changes, vec![entry]));
     }
 
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -78,7 +78,7 @@
 }
 
 fn entry(server: u64, born: Option<Micros>) -> Entry {
-    Entry { server: ServerId(server), place: server as i64, phase: Phase::Up, born }
+    Entry { server: ServerId(server), place: server as i64, phase: Phase::Up, born, told: None }
 }
 
 /// The most sends within any window of this length.
