Add the fleet's view: members and facts by SWIM over UDP, with a virtual network

Need: other installations let session controllers talk; leases and shared overload handling need to know who runs, without a centre. Off unless the operator's file has 'fleet'.

--- a/benches/scale.rs
+++ b/benches/scale.rs
@@ -63,15 +63,8 @@
         });
         let Some(server) = sent else { continue };
         controller.handle(now, Event::Stands(id, server, 0, Micros(30_000)), &mut actions);
-        let end = End {
-            id,
-            attempt: 0,
-            server,
-            outcome: Outcome::Success,
-            over: true,
-            number_busy: false,
-            report: report.clone(),
-        };
+        let end =
+            End { id, attempt: 0, server, outcome: Outcome::Success, over: true, number_busy: false, report };
         controller.handle(now, Event::Ended(end), &mut actions);
     }
     start.elapsed().as_nanos() as f64 / CALLS as f64
@@ -99,7 +92,7 @@
             born: None,
         })
         .collect();
-    let news = || News { all: true, hubs: whole.clone(), told: Micros(START) };
+    let news = || News { all: true, hubs: whole.clone(), told: Micros(START), seq: 0 };
     core.handle(Micros(START), Input::List(news()));
     let lists: Vec<News> = (0..20).map(|_| news()).collect();
     let start = Instant::now();
--- a/benches/state.rs
+++ b/benches/state.rs
@@ -57,7 +57,10 @@
         phase: Phase::Up,
         born: None,
     });
-    core.handle(Micros(START), Input::List(News { all: true, hubs: list.collect(), told: Micros(START) }));
+    core.handle(
+        Micros(START),
+        Input::List(News { all: true, hubs: list.collect(), told: Micros(START), seq: 0 }),
+    );
     let mut times = Histogram::<u64>::new_with_max(10_000_000_000, 3).expect("three digits");
     let mut standing = std::collections::VecDeque::new();
     for tick in 1..=ticks {
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -6,6 +6,7 @@
 mod hub;
 mod program;
 mod restart;
+mod view;
 
 use clap::{Args, Parser, Subcommand};
 use hdrhistogram::Histogram;
@@ -30,6 +31,8 @@
     Restart(Restart),
     /// What keeping what is learnt costs a call, on and off side by side
     Cost(Cost),
+    /// How fast and how cheaply a fleet agrees on who is in it, on a virtual network
+    View(view::View),
 }
 
 #[derive(Debug, Args)]
@@ -90,6 +93,7 @@
     let done = match Arguments::parse().experiment {
         Experiment::Restart(asked) => restart(&asked),
         Experiment::Cost(asked) => cost(&asked),
+        Experiment::View(asked) => view::run(&asked),
     };
     match done {
         Ok(true) => ExitCode::SUCCESS,
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,6 +1,8 @@
 //! The command line. Without a command the program serves.
 
 use crate::config::{Config, Operator, CONFIG_VARIABLE, LISTEN_VARIABLE, NAME_VARIABLE, OPERATOR_VARIABLE};
+use crate::fleet::show::{self, Shown as ShownFleet};
+use crate::fleet::wire::{self, Identity, Kind, DATAGRAM_MOST};
 use crate::interface::Micros;
 use crate::learning::{Kept, Picture};
 use crate::state::{self, Examined};
@@ -8,7 +10,9 @@
 use clap::{Parser, Subcommand};
 use miniserde::{json, Serialize};
 use std::fmt::Write;
+use std::net::{SocketAddr, UdpSocket};
 use std::path::PathBuf;
+use std::time::{Duration, Instant};
 
 /// A session controller for shared table hubs.
 #[derive(Debug, Parser)]
@@ -23,7 +27,7 @@
     format!(
         "Environment:\n  {CONFIG_VARIABLE}        the configuration, a JSON file (needed to serve and to check)\n  \
          {LISTEN_VARIABLE}        overrides its 'listen'\n  {NAME_VARIABLE}          overrides its 'name'\n  \
-         {OPERATOR_VARIABLE}  the operator's file: IAX2, state, logs"
+         {OPERATOR_VARIABLE}  the operator's file: IAX2, state, fleet, logs"
     )
 }
 
@@ -37,6 +41,22 @@
     /// Look at what is kept over restarts
     #[command(subcommand)]
     State(State),
+    /// Look at the fleet as a running program sees it
+    #[command(subcommand)]
+    Fleet(Fleet),
+}
+
+/// What to do with a fleet.
+#[derive(Debug, Subcommand)]
+pub enum Fleet {
+    /// Show the members that the program at ADDRESS knows; it answers this machine alone
+    Show {
+        /// Where the program takes the fleet's datagrams
+        address: SocketAddr,
+        /// Write JSON in place of a table
+        #[arg(long)]
+        json: bool,
+    },
 }
 
 /// What to do with a state folder.
@@ -80,7 +100,7 @@
     let mut line = |what: &str, value: String| {
         let _ = writeln!(text, "{what:<30}{value}");
     };
-    let Operator { iax2_listen, iax2_hubs, state, log, .. } = &config.operator;
+    let Operator { iax2_listen, iax2_hubs, state, fleet, log, .. } = &config.operator;
     let hubs: usize = config.known.events.iter().map(|e| e.targets.len()).sum();
     let address = |a: Option<std::net::SocketAddr>| a.map_or("off".into(), |a| a.to_string());
     line("name", config.name.clone());
@@ -110,11 +130,74 @@
             }
         }
     }
+    match fleet {
+        None => line("fleet", "off".into()),
+        Some(fleet) => {
+            let list = |items: Vec<String>| items.join(", ");
+            line("fleet.name", fleet.name.clone());
+            line("fleet.listen", fleet.listen.to_string());
+            line("fleet.advertise", fleet.advertise.unwrap_or(fleet.listen).to_string());
+            line("fleet.seeds", list(fleet.seeds.iter().map(|s| s.to_string()).collect()));
+            line("fleet.zone", fleet.zone.clone());
+            line("fleet.prefixes", list(fleet.prefixes.iter().map(|p| p.to_string()).collect()));
+            line("fleet.detectionMs", (fleet.detection.0 / 1000).to_string());
+        }
+    }
     line("log.level", format!("{:?}", log.level).to_lowercase());
     line("log.form", if log.json { "json" } else { "text" }.into());
     text
 }
 
+/// An answer's page is asked for again after this,
+const ASKED_AGAIN: Duration = Duration::from_millis(200);
+/// ... and given up after this in all.
+const ASKED_MOST: Duration = Duration::from_secs(3);
+
+/// Asks a running program for its view of the fleet.
+///
+/// # Errors
+/// One line that says what could not be done.
+pub fn on_fleet(command: &Fleet) -> Result<Printed, String> {
+    let Fleet::Show { address, json } = command;
+    let text = ask(*address).map_err(|e| format!("{address}: {e}"))?;
+    if *json {
+        return Ok(Printed { text: text + "\n", good: true });
+    }
+    let shown: ShownFleet = json::from_str(&text).map_err(|_| format!("{address}: no view of a fleet"))?;
+    Ok(Printed { text: show::table(&shown), good: true })
+}
+
+fn ask(address: SocketAddr) -> std::io::Result<String> {
+    let from = if address.is_ipv4() { "0.0.0.0:0" } else { "[::]:0" };
+    let socket = UdpSocket::bind(from)?;
+    socket.connect(address)?;
+    socket.set_read_timeout(Some(ASKED_AGAIN))?;
+    // Pages of two askers at a time must not be mixed up.
+    let nonce = u64::from(std::process::id()) << 32 | u64::from(socket.local_addr()?.port());
+    let (mut text, mut page, mut pages) = (Vec::new(), 0, 1);
+    let end = Instant::now() + ASKED_MOST;
+    let mut buffer = [0; DATAGRAM_MOST];
+    while page < pages {
+        if Instant::now() > end {
+            return Err(std::io::Error::new(std::io::ErrorKind::TimedOut, "no answer"));
+        }
+        let body: Vec<u8> = [nonce, page].iter().flat_map(|n| n.to_be_bytes()).collect();
+        socket.send(&wire::seal("", &Identity::at(socket.local_addr()?), Kind::Ask, false, &body))?;
+        let asked = Instant::now();
+        while asked.elapsed() < ASKED_AGAIN {
+            let Ok(length) = socket.recv(&mut buffer) else { continue };
+            let Ok(told) = wire::open("", &buffer[..length]) else { continue };
+            let Some(([n, p, of], part)) = show::read_page(told.body) else { continue };
+            if told.kind == Kind::Told && n == nonce && p == page && of <= show::PAGES_MOST {
+                text.extend_from_slice(part);
+                (page, pages) = (page + 1, of);
+                break;
+            }
+        }
+    }
+    String::from_utf8(text).map_err(|e| std::io::Error::new(std::io::ErrorKind::InvalidData, e))
+}
+
 #[derive(Serialize)]
 struct ShownFile {
     file: String,
--- a/src/config.rs
+++ b/src/config.rs
@@ -1,8 +1,10 @@
 //! The one place where configuration is read, checked and given defaults: the simulator's `init`,
 //! the platform's environment and JSON, and the operator's file. Errors name the faulty key by its path.
 
+use crate::fleet::wire::{LABEL_MOST, NAME_MOST};
 use crate::interface::*;
 use crate::learning::Ageing;
+use ipnet::IpNet;
 use miniserde::json::{self, Number, Value};
 use std::collections::BTreeMap;
 use std::fmt;
@@ -16,13 +18,17 @@
 pub const LISTEN_VARIABLE: &str = "ROUTER_LISTEN";
 /// Overrides `name` of that file.
 pub const NAME_VARIABLE: &str = "ROUTER_NAME";
-/// Names the operator's file, which sets up IAX2, state that is kept, and logs; unset: all but logs is off.
+/// Names the operator's file, which sets up IAX2, state that is kept, the fleet, and logs; unset: all but logs is off.
 pub const OPERATOR_VARIABLE: &str = "PETRELDOCK_OPERATOR";
 
 /// What was learnt is written this often, unless the operator's file says.
 const STATE_EVERY: Micros = Micros(2_000_000);
 /// No half-life and no age is longer: thirty days.
 const AGE_MOST_MS: u64 = 30 * 86_400_000;
+/// Within about this a crash is known in the fleet, unless the operator's file says.
+const DETECTION: Micros = Micros(2_500_000);
+/// Seeds and prefixes that a file may name.
+const NAMED_MOST: usize = 64;
 const MEBIBYTE: usize = 1024 * 1024;
 
 /// What is wrong with a configuration, and at which key.
@@ -273,10 +279,31 @@
     pub iax2_calls: Iax2Calls,
     /// What is kept over a restart; `None`: nothing.
     pub state: Option<State>,
+    /// What this process tells others of its fleet; `None`: it talks to nobody.
+    pub fleet: Option<Fleet>,
     /// How logs are written.
     pub log: Log,
 }
 
+/// The fleet that this process belongs to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fleet {
+    /// Its name; processes of other fleets are not heard.
+    pub name: String,
+    /// Where datagrams are taken; port 0 takes a free one.
+    pub listen: SocketAddr,
+    /// Where others reach it, if not at `listen`.
+    pub advertise: Option<SocketAddr>,
+    /// Addresses that are asked for the fleet at the start.
+    pub seeds: Vec<SocketAddr>,
+    /// The zone of this process; empty: none.
+    pub zone: String,
+    /// Only addresses under these are heard and believed in.
+    pub prefixes: Vec<IpNet>,
+    /// Within about this a crash is known to the others.
+    pub detection: Micros,
+}
+
 /// State that outlives the process.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct State {
@@ -442,6 +469,9 @@
         if let Some(file) = get(OPERATOR_VARIABLE) {
             let value = parse(&load(OPERATOR_VARIABLE, &file)?, OPERATOR_VARIABLE)?;
             config.operator = Operator::read(&At::root(&value, ""), &config.names)?;
+            if config.operator.fleet.is_some() && !(1..=NAME_MOST).contains(&config.name.len()) {
+                return Err(wrong("name", format!("expected 1 to {NAME_MOST} bytes, for the fleet")));
+            }
         }
         Ok(config)
     }
@@ -495,13 +525,6 @@
 impl State {
     fn read(at: &At) -> Read<State> {
         let folder = at.key("folder").text().ok().filter(|f| !f.is_empty());
-        let span = |at: At, other: Micros, (least, most): (u64, u64)| {
-            let ms = at.or(Micros(other.0 / 1000), At::micros)?;
-            match (least..=most).contains(&ms.0) {
-                true => Ok(Micros(ms.0 * 1000)),
-                false => Err(at.expected(&format!("{least} to {most} milliseconds"))),
-            }
-        };
         let (lives, other) = (at.key("halfLivesMs"), Ageing::default());
         let life = |key: &str, other| span(lives.key(key), other, (1, AGE_MOST_MS));
         Ok(State {
@@ -519,6 +542,61 @@
     }
 }
 
+/// Milliseconds within bounds, as a span.
+fn span(at: At, other: Micros, (least, most): (u64, u64)) -> Read<Micros> {
+    let ms = at.or(Micros(other.0 / 1000), At::micros)?;
+    match (least..=most).contains(&ms.0) {
+        true => Ok(Micros(ms.0 * 1000)),
+        false => Err(at.expected(&format!("{least} to {most} milliseconds"))),
+    }
+}
+
+impl Fleet {
+    fn read(at: &At) -> Read<Fleet> {
+        let label = |at: At, least: usize| match at.text()? {
+            text if (least..=LABEL_MOST).contains(&text.len()) => Ok(text.to_string()),
+            _ => Err(at.expected(&format!("a name of {least} to {LABEL_MOST} bytes"))),
+        };
+        fn few<'a>(at: &At<'a>) -> Read<Vec<At<'a>>> {
+            match at.list()? {
+                items if items.len() <= NAMED_MOST => Ok(items),
+                _ => Err(at.expected(&format!("{NAMED_MOST} entries at most"))),
+            }
+        }
+        let mut prefixes: Vec<IpNet> = Vec::new();
+        for item in few(&at.key("prefixes"))? {
+            let prefix = item.text()?.parse().map_err(|_| item.expected("a prefix, as in 10.0.0.0/8"))?;
+            prefixes.push(prefix);
+        }
+        if prefixes.is_empty() {
+            return Err(at.key("prefixes").expected("at least one prefix, as in 10.0.0.0/8"));
+        }
+        // Danger: an address that no other member may believe in makes a member that nobody ever sees.
+        let under = |at: &At| match at.address()? {
+            address if prefixes.iter().any(|p| p.contains(&address.ip())) => Ok(address),
+            _ => Err(at.expected("an address under one of the prefixes")),
+        };
+        let listen = at.key("listen").address()?;
+        let advertise = at.key("advertise").or(None, |a| under(a).map(Some))?;
+        if advertise.is_none() {
+            under(&at.key("listen"))?;
+        }
+        if advertise.is_some_and(|a| a.port() == 0) {
+            return Err(at.key("advertise").expected("a port"));
+        }
+        let seeds = few(&at.key("seeds"))?.iter().map(under).collect::<Read<_>>()?;
+        Ok(Fleet {
+            name: label(at.key("name"), 1)?,
+            listen,
+            advertise,
+            seeds,
+            zone: at.key("zone").or(String::new(), |a| label(a.clone(), 0))?,
+            prefixes,
+            detection: span(at.key("detectionMs"), DETECTION, (500, 60_000))?,
+        })
+    }
+}
+
 impl Log {
     fn read(at: &At) -> Read<Log> {
         Ok(Log {
@@ -543,6 +621,7 @@
     pub fn read(root: &At, names: &Names) -> Read<Operator> {
         let mut operator = Operator {
             state: root.key("state").or(None, |at| State::read(at).map(Some))?,
+            fleet: root.key("fleet").or(None, |at| Fleet::read(at).map(Some))?,
             log: Log::read(&root.key("log"))?,
             ..Operator::default()
         };
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -157,6 +157,19 @@
     pub unanswered: usize,
 }
 
+/// What the core has to do, for those who tell others of it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Figures {
+    /// Set-ups that callers brought, since the start.
+    pub offered: u64,
+    /// Set-ups out at hubs, and calls that stand there.
+    pub open: u32,
+    /// The newest event of the change log.
+    pub seq: u64,
+    /// The program is to end.
+    pub stopping: bool,
+}
+
 /// The core's whole state. It reads no clock: time comes in.
 pub struct Core {
     controller: Controller,
@@ -197,6 +210,9 @@
     current: bool,
     memory: Option<Memory>,
     keeping: Option<Keeping>,
+    offered: u64,
+    seq: u64,
+    figures: Option<watch::Sender<Figures>>,
 }
 
 impl Core {
@@ -241,6 +257,9 @@
             current: config.change_log.is_none(),
             memory: None,
             keeping: None,
+            offered: 0,
+            seq: 0,
+            figures: None,
         })
     }
 
@@ -254,6 +273,11 @@
         self.keeping = Some(Keeping { pictures, every, next: now + every, painter: None });
     }
 
+    /// Has it said at every tick what there is to do.
+    pub fn tell_figures(&mut self, figures: watch::Sender<Figures>) {
+        self.figures = Some(figures);
+    }
+
     /// Calls in the table.
     pub fn open_calls(&self) -> usize {
         self.calls.len()
@@ -271,7 +295,7 @@
                 self.hubs[index].fixed = true;
             }
         }
-        self.list(now, News { all: false, hubs, told: now });
+        self.list(now, News { all: false, hubs, told: now, seq: 0 });
     }
 
     /// Takes one input.
@@ -377,6 +401,10 @@
         if self.keeping.as_ref().is_some_and(|k| k.next <= now || k.painter.is_some()) {
             self.paint(now, PAINTED_EACH);
         }
+        if let Some(figures) = &self.figures {
+            let (open, stopping) = (self.at.len() as u32, self.stopping);
+            figures.send_replace(Figures { offered: self.offered, open, seq: self.seq, stopping });
+        }
         let was = *self.status.borrow();
         let settled = was.settled || self.started + READY_AFTER <= now || self.informed();
         let status = Status { settled, stopping: self.stopping, unanswered: self.unanswered };
@@ -395,6 +423,7 @@
     // ---- callers ----
 
     fn offer(&mut self, now: Micros, offer: Offer) {
+        self.offered += 1;
         if let Some(known) = self.by_name.get(&offer.call).and_then(|id| self.calls.get(id)) {
             // A repeat of a set-up that is open: its answer is owed once. Danger: one from elsewhere, or
             // of a call that stands or is still being given up at a hub, must not get a second attempt,
@@ -724,6 +753,7 @@
 
     fn list(&mut self, now: Micros, news: News) {
         self.lists += 1;
+        self.seq = self.seq.max(news.seq);
         let mut named: Vec<usize> = Vec::with_capacity(news.hubs.len());
         for hub in &news.hubs {
             let Some(index) = self.hub(hub) else { continue };
--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -202,6 +202,8 @@
     pub hubs: Vec<Hub>,
     /// Since when this counts as told, at the earliest: it may have been in the change log for a while.
     pub told: Micros,
+    /// The change log's event; nought: of no change log.
+    pub seq: u64,
 }
 
 /// All that reaches the core.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`net`] and [`iax2`]: the sockets' sides, for the platform's protocol and for IAX2.
 //! - [`learning`], [`state`] and [`store`]: what outlives the process, the task that keeps it, and its files.
 //! - [`cli`] and [`telemetry`]: the command line and the logs.
+//! - [`fleet`]: what session controllers tell one another, where an installation lets them talk.
 //! - [`config`]: the one place where configuration is read, checked and given defaults.
 //! - [`wire`]: the simulator's wire, for the adapter.
 //!
@@ -45,6 +46,7 @@
 pub mod cli;
 pub mod config;
 pub mod core;
+pub mod fleet;
 pub mod iax2;
 pub mod interface;
 pub mod learning;
--- a/src/main.rs
+++ b/src/main.rs
@@ -5,7 +5,8 @@
 use clap::Parser;
 use petreldock::cli::{self, Arguments, Command};
 use petreldock::config::{Config, ConfigError, Iax2Hub, State};
-use petreldock::core::{self, Clock, Core, FrontId, Hub, Input, Status};
+use petreldock::core::{self, Clock, Core, Figures, FrontId, Hub, Input, Status};
+use petreldock::fleet::task;
 use petreldock::iax2;
 use petreldock::interface::{Micros, Phase};
 use petreldock::net::{feed, front, hub};
@@ -67,6 +68,10 @@
             print!("{}", cli::check(&config));
             true
         }),
+        Command::Fleet(command) => cli::on_fleet(&command).map(|printed| {
+            print!("{}", printed.text);
+            printed.good
+        }),
         Command::State(command) => cli::on_state(&command, Clock::system().now()).map(|printed| {
             print!("{}", printed.text);
             printed.good
@@ -132,6 +137,15 @@
         Some(state) => Some(keep(state, &mut core, clock).await?),
         None => None,
     };
+    let fleet = match &operator.fleet {
+        Some(fleet) => {
+            let (figures, latest) = watch::channel(Figures::default());
+            core.tell_figures(figures);
+            // Kept alive to the end: who stands in the fleet is for later parts.
+            Some(task::start(fleet, &config.name, config.seed, clock, latest).await?)
+        }
+        None => None,
+    };
     let mut seq = 0;
     // Danger: a drain that stood in the list of the start was told long before, to another process perhaps.
     let known = feed::inputs(config.known.clone(), &mut seq, Micros(0));
@@ -163,6 +177,10 @@
     let stop = async {
         tokio::select! { _ = terminate.recv() => {}, _ = interrupt.recv() => {} }
         wind_down(inputs.clone(), clock, watched, owed, ending).await;
+        if let Some((leave, _)) = &fleet {
+            let _ = leave.send(()).await;
+            leave.closed().await;
+        }
         if let Some(saved) = keeping {
             hand_over(inputs, clock, saved).await;
         }
--- a/src/net/feed.rs
+++ b/src/net/feed.rs
@@ -78,7 +78,8 @@
             phase: t.phase,
             born: t.born,
         });
-        inputs.push(Input::List(News { all: event.all, hubs: hubs.collect(), told }));
+        let (all, hubs, seq) = (event.all, hubs.collect(), event.seq);
+        inputs.push(Input::List(News { all, hubs, told, seq }));
     }
     *seq = changes.seq.max(*seq);
     inputs
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -35,7 +35,7 @@
 
 /// News that count as told when they come.
 fn list(all: bool, hubs: Vec<Hub>) -> Input {
-    Input::List(News { all, hubs, told: Micros(u64::MAX) })
+    Input::List(News { all, hubs, told: Micros(u64::MAX), seq: 0 })
 }
 
 impl Desk {
@@ -309,7 +309,7 @@
     let mut desk = Desk::new();
     let told = Micros(START - SECOND);
     let hubs = vec![hub("b", "10.0.0.2:1", 1, Phase::Draining)];
-    desk.tell(Input::List(News { all: false, hubs: hubs.clone(), told }));
+    desk.tell(Input::List(News { all: false, hubs: hubs.clone(), told, seq: 0 }));
     assert!(matches!(desk.command(1), Some(ToHub::NotAfter(Some(t))) if t == told + Micros(2 * SECOND)));
     desk.pass(SECOND / 2);
     desk.tell(list(false, hubs));
--- a/tests/feed.rs
+++ b/tests/feed.rs
@@ -70,7 +70,7 @@
     assert!(news.try_recv().is_err());
     whole.write_all(answer.as_bytes()).await.expect("written");
     let input = timeout(PATIENCE, news.recv()).await.expect("in time");
-    let Some(Input::List(News { all: false, hubs, told })) = input else { panic!("{input:?}") };
+    let Some(Input::List(News { all: false, hubs, told, .. })) = input else { panic!("{input:?}") };
     assert_eq!(hubs.len(), 1);
     assert!(told <= first, "it may have been in the change log since before the first lost poll");
     assert!(matches!(timeout(PATIENCE, news.recv()).await, Ok(Some(Input::Current))));
