Add the lab's experiments on the fleet: virtual sizes, started processes, cost of a call

Need: settling, detection, false deaths, traffic and cost of the view are to be measured with spread, at 5 to 64 processes and 64 to 1,024 virtual members.

--- a/lab/src/cost.rs
+++ b/lab/src/cost.rs
@@ -1,4 +1,4 @@
-//! What keeping what is learnt costs a call: two programs side by side, one with a state folder, one without.
+//! What keeping what is learnt, or talking to a fleet, costs a call: two programs side by side, on and off.
 
 use crate::caller::{Arrivals, Callers};
 use crate::hub::Hub;
@@ -20,8 +20,13 @@
 const STATE: &str = r#","intervalMs":500"#;
 
 /// The p50 and the p99 of a set-up in microseconds, from its intended start: on, then off.
-pub async fn play(binary: &Path, seed: u64, folder: &Path) -> io::Result<[(f64, f64); 2]> {
-    let mut sides = Vec::new();
+pub async fn play(
+    binary: &Path,
+    seed: u64,
+    folder: &Path,
+    fleet: Option<usize>,
+) -> io::Result<[(f64, f64); 2]> {
+    let (mut sides, mut others) = (Vec::new(), Vec::new());
     for on in [true, false] {
         let log = ChangeLog::default();
         let change_log = log.start().await?;
@@ -34,8 +39,22 @@
         let site = Site { balancers: 1, places: PLACES, change_log, known: log.since(0) };
         let run = (seed * 8 + 6) as u16;
         let mut program = Program::new(binary, folder, run, usize::from(on))?;
-        program.start(&site, seed, on.then_some(STATE)).await?;
+        let talks = |p: &Program| {
+            let (own, first) = (p.address.ip(), std::net::IpAddr::from([127, 20, run as u8, 2]));
+            format!(
+                r#"{{"fleet":{{"name":"lab","listen":"{own}:7946","seeds":["{first}:7946"],"prefixes":["127.0.0.0/8"]}}}}"#
+            )
+        };
+        let state = if fleet.is_some() { talks(&program) } else { STATE.into() };
+        program.start(&site, seed, on.then_some(&state)).await?;
         sides.push(program);
+        // The rest of its fleet has no calls.
+        for n in 2..if on { fleet.unwrap_or(0) + 1 } else { 0 } {
+            let mut other = Program::new(binary, folder, run, n)?;
+            let talks = talks(&other);
+            other.start(&site, seed, Some(&talks)).await?;
+            others.push(other);
+        }
     }
     let start = Instant::now() + Duration::from_millis(500);
     let callers: Vec<Callers> = sides
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -3,6 +3,7 @@
 
 mod caller;
 mod cost;
+mod fleet;
 mod hub;
 mod program;
 mod restart;
@@ -29,10 +30,12 @@
 enum Experiment {
     /// What a restart at a round start costs, with and without what was learnt
     Restart(Restart),
-    /// What keeping what is learnt costs a call, on and off side by side
+    /// What keeping what is learnt, or talking to a fleet, costs a call: on and off side by side
     Cost(Cost),
     /// How fast and how cheaply a fleet agrees on who is in it, on a virtual network
     View(view::View),
+    /// The same with started processes, faults between them, and calls through them
+    Fleet(fleet::Fleet),
 }
 
 #[derive(Debug, Args)]
@@ -43,6 +46,9 @@
     /// So many seeds from there on, side by side
     #[arg(long, default_value_t = 3)]
     seeds: u64,
+    /// What is on: a fleet of so many in place of the state folder
+    #[arg(long)]
+    fleet: Option<usize>,
     /// The program
     #[arg(long, default_value = "target/release/petreldock")]
     binary: PathBuf,
@@ -94,6 +100,10 @@
         Experiment::Restart(asked) => restart(&asked),
         Experiment::Cost(asked) => cost(&asked),
         Experiment::View(asked) => view::run(&asked),
+        Experiment::Fleet(asked) => tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .and_then(|r| tokio::task::LocalSet::new().block_on(&r, fleet::run(&asked))),
     };
     match done {
         Ok(true) => ExitCode::SUCCESS,
@@ -156,8 +166,9 @@
 
 fn cost(asked: &Cost) -> std::io::Result<bool> {
     let seeds: Vec<u64> = (asked.seed..asked.seed + asked.seeds).collect();
-    let played =
-        side_by_side(&seeds, 4, async |seed, folder: &Path| cost::play(&asked.binary, seed, folder).await)?;
+    let played = side_by_side(&seeds, 4, async |seed, folder: &Path| {
+        cost::play(&asked.binary, seed, folder, asked.fleet).await
+    })?;
     println!("set-up from its intended start, in us, on and off side by side");
     let mut ratios = (Vec::new(), Vec::new());
     for (seed, [on, off]) in &played {
--- a/lab/src/program.rs
+++ b/lab/src/program.rs
@@ -30,7 +30,7 @@
 }
 
 impl Site {
-    fn document(&self, index: usize, listen: SocketAddr, seed: u64) -> String {
+    pub fn document(&self, index: usize, listen: SocketAddr, seed: u64) -> String {
         let places = (0..self.places).map(|p| p.to_string()).collect::<Vec<_>>().join(",");
         let class = |(name, aim, worth, _): &(&str, f64, f64, f64)| {
             let objective = aim * 1e6;
@@ -88,7 +88,12 @@
         if let Some(state) = state {
             let file = self.folder.join("operator.json");
             let folder = self.folder.join("state").display().to_string();
-            std::fs::write(&file, format!(r#"{{"state":{{"folder":{folder:?}{state}}}}}"#))?;
+            // A whole file, or what is to stand in a state section beside its folder.
+            let text = match state.starts_with('{') {
+                true => state.to_string(),
+                false => format!(r#"{{"state":{{"folder":{folder:?}{state}}}}}"#),
+            };
+            std::fs::write(&file, text)?;
             command.env("PETRELDOCK_OPERATOR", file);
         }
         self.child = Some(command.spawn()?);
--- a/lab/src/view.rs
+++ b/lab/src/view.rs
@@ -111,7 +111,7 @@
 }
 
 /// Percentiles of some times.
-fn quantiles(times: &[u64]) -> String {
+pub fn quantiles(times: &[u64]) -> String {
     let mut histogram =
         Histogram::<u64>::new_with_bounds(1, 10_000_000, 3).expect("three digits are allowed");
     times.iter().for_each(|t| histogram.saturating_record(*t));
