--- a/src/fleet/view/mod.rs
+++ b/src/fleet/view/mod.rs
@@ -621,15 +621,6 @@
                 }
                 coming += 1;
             }
-            // An older life of this process is over, whatever is said of it; foca would call it down aloud. A
-            // later one was this process's too, under a clock that has gone back: it is to be later still.
-            if own && id != self.own() {
-                if id.generation > self.own().generation && !self.leaving {
-                    let next = self.own().after(id.generation);
-                    let _ = self.swim.change_identity(next, &mut self.runtime);
-                }
-                continue;
-            }
             believed.push(entry);
         }
         believed
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -5,7 +5,7 @@
 use std::ops::{Add, Sub};
 
 /// A moment or a span, in whole microseconds. Arithmetic saturates.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Micros(pub u64);
 
 impl Micros {
--- a/tests/view.rs
+++ b/tests/view.rs
@@ -199,6 +199,11 @@
             watch.look(&net);
         }
         assert_eq!(gone(&net), [], "after a pause of {pause} ms the old life's end is not the new one's");
+        for by in 0..10 {
+            let addresses: Vec<_> = net.members(by).iter().map(|m| m.identity.address).collect();
+            let different: std::collections::BTreeSet<_> = addresses.iter().collect();
+            assert_eq!(addresses.len(), different.len(), "nobody is in a view twice, not the viewer either");
+        }
     }
 }
 
@@ -369,6 +374,17 @@
     assert_eq!(net.view(0).expect("runs").hash(), hash);
 }
 
+#[test]
+fn a_newcomer_gets_the_whole_list_though_no_datagram_holds_it() {
+    let mut net = joined(23, 80);
+    act(&mut net, "kill 70");
+    net.run(6_000);
+    act(&mut net, "start 70");
+    let known = net.until(10_000, |n| n.view(70).is_some_and(|v| v.live().count() == 80));
+    assert!(known.is_some_and(|us| us < 3_000_000), "{known:?} us after its start");
+    settles(&mut net, 2_000);
+}
+
 #[test]
 fn a_planned_end_is_known_at_once() {
     let mut net = joined(19, 10);
