--- a/src/fleet/view/facts.rs
+++ b/src/fleet/view/facts.rs
@@ -2,7 +2,7 @@
 
 use crate::fleet::wire::{self, Identity, Record, FACTS_MOST};
 use crate::interface::Micros;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -125,41 +125,62 @@
         true
     }
 
-    /// The records for a datagram of so many bytes: those passed on least so far, up to `most` times each.
+    /// The records for a datagram of so many bytes, each passed on up to `most` times. Half of the room is for the
+    /// youngest, so that news run ahead; half goes round from where the last datagram ended, the least passed on
+    /// first, so that nothing is left behind.
     pub fn give(&mut self, now: Micros, room: usize, most: u32) -> Vec<Record> {
         let from = self.from.take();
         let after = |a: &SocketAddr| from.is_none_or(|f| *a > f);
-        // From where the last one ended, so that a backlog goes round.
-        let mut order: Vec<(u32, bool, SocketAddr)> = self
-            .entries
-            .iter()
-            .filter(|(_, e)| e.sent < most)
-            .map(|(a, e)| (e.sent, !after(a), *a))
-            .collect();
-        order.sort_unstable();
-        let (mut records, mut left) = (Vec::new(), room);
-        for (_, _, address) in order {
-            let Some(entry) = self.entries.get_mut(&address) else { continue };
-            let age_ms = (entry.age + (now - entry.came)).0 / 1000;
-            let record = Record {
-                address,
-                generation: entry.generation,
-                version: entry.version,
-                age_ms: age_ms.min(u64::from(u32::MAX)) as u32,
-                facts: entry.facts.clone(),
-            };
-            let bytes = wire::record_bytes(&record);
-            if bytes > left {
+        let waiting = || self.entries.iter().filter(|(_, e)| e.sent < most);
+        let age = |e: &Entry| e.age + (now - e.came);
+        let mut young: Vec<(Micros, SocketAddr)> = waiting().map(|(a, e)| (age(e), *a)).collect();
+        let mut round: Vec<(u32, bool, SocketAddr)> =
+            waiting().map(|(a, e)| (e.sent, !after(a), *a)).collect();
+        young.sort_unstable();
+        round.sort_unstable();
+        let mut given = BTreeSet::new();
+        let mut records = Vec::new();
+        let mut left = room / 2;
+        for (_, address) in young {
+            if !self.put(now, address, &mut left, &mut records) {
+                break;
+            }
+            given.insert(address);
+        }
+        left += room - room / 2;
+        for (.., address) in round {
+            if given.contains(&address) {
+                continue;
+            }
+            if !self.put(now, address, &mut left, &mut records) {
                 break;
             }
-            left -= bytes;
-            entry.sent += 1;
             self.from = Some(address);
-            records.push(record);
         }
         records
     }
 
+    /// Adds a member's record, if it fits.
+    fn put(&mut self, now: Micros, address: SocketAddr, left: &mut usize, to: &mut Vec<Record>) -> bool {
+        let Some(entry) = self.entries.get_mut(&address) else { return true };
+        let age_ms = (entry.age + (now - entry.came)).0 / 1000;
+        let record = Record {
+            address,
+            generation: entry.generation,
+            version: entry.version,
+            age_ms: age_ms.min(u64::from(u32::MAX)) as u32,
+            facts: entry.facts.clone(),
+        };
+        let bytes = wire::record_bytes(&record);
+        if bytes > *left {
+            return false;
+        }
+        *left -= bytes;
+        entry.sent += 1;
+        to.push(record);
+        true
+    }
+
     /// A member's facts and their age.
     pub fn of(&self, now: Micros, identity: &Identity) -> Option<(Facts, Micros)> {
         let entry = self.entries.get(&identity.address)?;
