--- a/lab/src/check.rs
+++ b/lab/src/check.rs
@@ -5,7 +5,10 @@
 use petreldock::fleet::lease::voter::Voter;
 use petreldock::fleet::lease::{Answer, Ask, BoundedTask, Epoch, Holder, Task, Terms, TERM_MOST};
 use petreldock::interface::Micros;
-use stateright::{Model, Property};
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+use rand::SeedableRng;
+use stateright::{Expectation, Model, Property};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
@@ -250,6 +253,29 @@
     }
 }
 
+/// Walks at random from the start, so many times so many steps; the first property that breaks, and how. The same
+/// seed is the same walk. The checker's own walks stumble over steps that change nothing.
+pub fn walk(model: &Lease, seed: u64, walks: usize, steps: usize) -> Option<(&'static str, Vec<Happens>)> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let properties = model.properties();
+    let always = || properties.iter().filter(|p| matches!(p.expectation, Expectation::Always));
+    for _ in 0..walks {
+        let (mut state, mut events) = (model.init_states().remove(0), Vec::new());
+        for _ in 0..steps {
+            let mut actions = Vec::new();
+            model.actions(&state, &mut actions);
+            let Some(action) = actions.choose(&mut rng) else { break };
+            let Some(next) = model.next_state(&state, *action) else { continue };
+            events.push(*action);
+            state = next;
+            if let Some(broken) = always().find(|p| !(p.condition)(model, &state)) {
+                return Some((broken.name, events));
+            }
+        }
+    }
+    None
+}
+
 /// A run as readable events with their times.
 impl fmt::Display for Happens {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
