Bound the view's timers and the news that wait, which a flood of the gone could fill

Change: one timer an address to forget it, replaced by a later life's and taken out with an evicted address; entries of unknown addresses are refused while as many news wait as the table has places. held() counts both. A check that was always true is taken out.

--- a/src/fleet/view/mod.rs
+++ b/src/fleet/view/mod.rs
@@ -15,7 +15,7 @@
 use rand::seq::{IndexedRandom, SliceRandom};
 use rand::{RngExt, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::num::{NonZeroU8, NonZeroUsize};
 use std::time::Duration;
 
@@ -248,6 +248,8 @@
     /// What is due, in the time that counts: the clock's less `slept`.
     timers: BTreeMap<(Micros, u64), Due>,
     numbered: u64,
+    /// When who is gone will be forgotten, an address once: a flood of lives must not fill the timers.
+    forgets: BTreeMap<SocketAddr, (Micros, u64)>,
     slept: Micros,
     started: Micros,
     /// Who was ever told of, live or gone, until the protocol forgets it.
@@ -279,6 +281,7 @@
             rng,
             timers: BTreeMap::new(),
             numbered: 0,
+            forgets: BTreeMap::new(),
             slept: Micros(0),
             started: now,
             known: BTreeMap::new(),
@@ -327,9 +330,10 @@
         self.counters
     }
 
-    /// Addresses in the tables.
+    /// The most that any table holds: addresses, timers, or news that wait to be passed on.
     pub fn held(&self) -> usize {
-        self.swim.iter_membership_state().len().max(self.book.len()).max(self.known.len())
+        let tables = [self.book.len(), self.known.len(), self.timers.len(), self.swim.updates_backlog()];
+        tables.into_iter().fold(self.swim.iter_membership_state().len(), usize::max)
     }
 
     /// Everyone who counts as there, this process too.
@@ -590,6 +594,9 @@
         let gone = self.swim.iter_membership_state().filter(|m| m.state() == State::Down);
         let oldest = gone.min_by_key(|m| since(m)).map(|m| m.id().clone()).ok_or(Refused::Full)?;
         self.known.remove(&oldest.address);
+        if let Some(key) = self.forgets.remove(&oldest.address) {
+            self.timers.remove(&key);
+        }
         let _ = self.swim.handle_timer(Timer::RemoveDown(oldest), &mut self.runtime);
         Ok(())
     }
@@ -603,6 +610,8 @@
         unsure: bool,
     ) -> Vec<Member<Identity>> {
         let full = self.swim.iter_membership_state().len() + entries.len() > MEMBERS_MOST;
+        // Danger: the library bounds neither its members nor the news of them that wait to be passed on.
+        let mut waiting = self.swim.updates_backlog();
         let mut coming = 0;
         let mut believed = Vec::with_capacity(entries.len());
         for entry in entries {
@@ -614,6 +623,11 @@
             if unsure && entry.state() != State::Alive && id != sender {
                 continue;
             }
+            waiting += 1;
+            if waiting > MEMBERS_MOST && !own && !self.known.contains_key(&id.address) {
+                self.counters.count(Refused::Full);
+                continue;
+            }
             if full && !own && !self.known.contains_key(&id.address) && self.entry(id.address).is_none() {
                 if let Err(refused) = self.make_room(coming) {
                     self.counters.count(refused);
@@ -645,6 +659,7 @@
         // The library has no way back for a member that is down; a new instance has.
         self.swim = swim(&self.setup, &self.pace, &mut self.rng, self.transmissions);
         self.timers.retain(|_, due| !matches!(due, Due::Swim(_) | Due::Doubt(..)));
+        self.forgets.clear();
         let back = table.into_iter().map(|m| match verdicts.contains(m.id()) || m.state() != State::Down {
             true => Member::new(m.id().clone(), m.incarnation(), State::Alive),
             false => m,
@@ -708,6 +723,9 @@
     fn due(&mut self, now: Micros, local: Micros, due: Due, out: &mut Vec<Out>) {
         match due {
             Due::Swim(timer) => {
+                if let Timer::RemoveDown(identity) = &timer {
+                    self.forgets.remove(&identity.address);
+                }
                 let _ = self.swim.handle_timer(timer, &mut self.runtime);
             }
             Due::Join => self.join(local),
@@ -829,7 +847,15 @@
                 let doubt = Due::Doubt(member_id.clone(), *incarnation);
                 self.after(local, Micros(0), doubt);
             }
+            let forgets = match &timer {
+                Timer::RemoveDown(identity) => Some(identity.address),
+                _ => None,
+            };
             self.after(local, after, Due::Swim(timer));
+            let key = (local + after, self.numbered);
+            if let Some(before) = forgets.and_then(|address| self.forgets.insert(address, key)) {
+                self.timers.remove(&before);
+            }
         }
         while let Some(note) = self.runtime.to_notify() {
             match note {
@@ -872,8 +898,7 @@
     fn ask(&mut self, now: Micros, from: SocketAddr, body: &[u8], out: &mut Vec<Out>) -> Result<(), Refused> {
         let ip = from.ip();
         // Danger: this is the one answer that goes to where a datagram came from.
-        let here =
-            ip.is_loopback() && same_machine(ip, self.own().address.ip()) || ip == self.own().address.ip();
+        let here = ip.is_loopback() || ip == self.own().address.ip();
         if !here {
             return Err(Refused::Stranger);
         }
@@ -891,11 +916,6 @@
     }
 }
 
-/// Whether a loopback address asks a process that is on loopback as well, or on any address of this machine.
-fn same_machine(asks: IpAddr, own: IpAddr) -> bool {
-    asks.is_loopback() || asks == own
-}
-
 /// Which of two under one name holds it: the one that started later.
 fn holds(identity: &Identity) -> (u64, SocketAddr) {
     (identity.generation, identity.address)
--- a/tests/view.rs
+++ b/tests/view.rs
@@ -343,6 +343,30 @@
     assert!((0..8).all(|n| view.live().any(|i| i.address == address(n))));
 }
 
+#[test]
+fn a_flood_of_the_gone_fills_neither_timers_nor_news() {
+    let mut net = joined(24, 4);
+    let sender = net.view(3).expect("runs").own().clone();
+    for n in 0..1_500u32 {
+        let gone = |k: u32| {
+            let number = n * 20 + k;
+            // One address with ever later lives, and ever new addresses.
+            let at = match k {
+                0 => ([127, 9, 9, 9], 9),
+                _ => ([127, 9, (number >> 8) as u8, number as u8], 1 + (number >> 16) as u16),
+            };
+            let generation = u64::from(number) + 1;
+            let ghost = Identity { name: "ghost".into(), zone: "".into(), address: at.into(), generation };
+            foca::Member::down(ghost)
+        };
+        let (body, _) = wire::entries(&(0..20).map(gone).collect::<Vec<_>>(), 1_200);
+        net.arrives(0, address(3), wire::seal("lab", &sender, Kind::Entries, false, &body));
+    }
+    let view = net.view(0).expect("runs");
+    assert!(view.held() <= MEMBERS_MOST + 64, "{} held, beside some timers of its own", view.held());
+    assert_eq!(view.live().count(), 4);
+}
+
 #[test]
 fn strangers_other_fleets_and_garbage_are_counted_and_nothing_else() {
     let mut net = joined(18, 4);
