Move tests out of the sources, and start no process while a lock is looked at

Need: tests live in test files.

Seen: `a_folder_is_its_owners_and_one_process_s` failed once in a full run ("let go: InUse", tests/store.rs:179) and passed alone. Cause: the other test of that file starts 200 processes; between fork and exec each holds what its parent holds, the lock as well. Ruled out: the folder's own close (the lock goes with the last descriptor). No process is started while the lock's test runs; what it asserts stays.

--- a/src/core/wheel.rs
+++ b/src/core/wheel.rs
@@ -64,21 +64,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn items_come_due_at_their_tick_also_after_turns_and_stops() {
-        let mut wheel = Wheel::new(Micros(1_000_000));
-        wheel.add(Micros(1_000_001), 'a');
-        wheel.add(Micros(1_012_000), 'b');
-        wheel.add(Micros(9_000_000), 'c');
-        wheel.add(Micros(5), 'd');
-        assert_eq!(wheel.advance(Micros(1_004_999)), vec!['d'], "what has passed is due at once");
-        assert_eq!(wheel.advance(Micros(1_005_000)), vec!['a']);
-        assert_eq!(wheel.advance(Micros(1_014_999)), vec![]);
-        assert_eq!(wheel.advance(Micros(8_999_999)), vec!['b'], "a stop of more than one turn");
-        assert_eq!(wheel.advance(Micros(60_000_000)), vec!['c']);
-        assert!(wheel.is_empty());
-    }
-}
+mod tests;
--- a/src/fleet/lease/mod.rs
+++ b/src/fleet/lease/mod.rs
@@ -143,30 +143,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn the_slowest_holder_ends_before_the_fastest_voter() {
-        for permille in [0, 1, 10, 50, 333] {
-            let terms = Terms::new(Micros(10_000_000), permille);
-            // By true time: a slow clock shows less than has passed, a fast one more.
-            let holder = terms.holder.0 as f64 / (1.0 - permille as f64 / 1e3);
-            let voter = terms.voter.0 as f64 / (1.0 + permille as f64 / 1e3);
-            assert!(holder <= voter, "{permille}: {holder} after {voter}");
-            assert!(holder > voter * 0.999, "{permille}: a term is not given away");
-        }
-        assert_eq!(Terms::new(Micros(u64::MAX), 10).voter, TERM_MOST);
-    }
-
-    #[test]
-    fn an_older_effect_is_refused_also_once_its_fence_is_forgotten() {
-        let mut fences = Fences::default();
-        let task = FencedTask::Plan(0);
-        assert!(fences.admit(task, Epoch(7)));
-        assert!(fences.admit(task, Epoch(7)) && !fences.admit(task, Epoch(6)));
-        (1..=FENCES_MOST as u64).for_each(|n| assert!(fences.admit(FencedTask::Plan(n), Epoch(9))));
-        assert!(!fences.admit(task, Epoch(6)), "forgotten, and refused all the same");
-        assert!(fences.newest.len() <= FENCES_MOST);
-    }
-}
+mod tests;
--- /dev/null
+++ b/src/fleet/lease/spread/tests.rs
@@ -0,0 +1,53 @@
+//! Whom a lease goes to.
+
+use super::super::BoundedTask;
+use super::*;
+
+fn tasks(count: u64) -> Vec<Task> {
+    (0..count).map(|n| Task::Bounded(BoundedTask::Probe(n * 7_919))).collect()
+}
+
+fn members(range: std::ops::Range<u64>) -> BTreeMap<u64, u64> {
+    range.map(|n| (n, n * 104_729)).collect()
+}
+
+fn loads(given: &BTreeMap<Task, u64>) -> BTreeMap<u64, usize> {
+    given.values().fold(BTreeMap::new(), |mut l, m| {
+        *l.entry(*m).or_default() += 1;
+        l
+    })
+}
+
+#[test]
+fn a_thousand_tasks_are_shared_evenly_by_three_hundred() {
+    let given = assign(&tasks(1_024), &members(0..300), &BTreeMap::new());
+    assert_eq!(given.len(), 1_024, "all have somebody");
+    let (most, mean) = (loads(&given).values().copied().max().unwrap_or(0), 1_024.0 / 300.0);
+    assert!(most as f64 / mean <= 1.3, "{most} against a mean of {mean:.2}");
+}
+
+#[test]
+fn the_order_of_the_list_changes_nothing() {
+    let mut reversed = tasks(200);
+    reversed.reverse();
+    let (a, b) = (tasks(200), reversed);
+    assert_eq!(assign(&a, &members(0..9), &BTreeMap::new()), assign(&b, &members(0..9), &BTreeMap::new()));
+}
+
+#[test]
+fn one_that_comes_or_goes_moves_few() {
+    let before = assign(&tasks(1_024), &members(0..300), &BTreeMap::new());
+    let moved = |after: &BTreeMap<Task, u64>| before.iter().filter(|(t, m)| after.get(t) != Some(m)).count();
+    let joined = assign(&tasks(1_024), &members(0..301), &before);
+    assert_eq!(moved(&joined), 0, "nobody is over its part");
+    let left = assign(&tasks(1_024), &members(1..300), &before);
+    assert_eq!(moved(&left), loads(&before).get(&0).copied().unwrap_or(0), "its own alone");
+    let halved = assign(&tasks(1_024), &members(0..600), &before);
+    assert!(loads(&halved).values().all(|l| *l <= most(1_024, 600)), "who is over its part gives some up");
+}
+
+#[test]
+fn with_nobody_there_nobody_has_anything() {
+    assert!(assign::<u64>(&tasks(3), &BTreeMap::new(), &BTreeMap::new()).is_empty());
+    assert_eq!(assign(&tasks(1), &members(0..5), &BTreeMap::new()).len(), 1);
+}
--- a/tests/store.rs
+++ b/tests/store.rs
@@ -10,6 +10,7 @@
 use sim_disk::SimDisk;
 use std::io::{BufRead, BufReader};
 use std::process::{Command, Stdio};
+use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
 const KIND: u16 = 77;
@@ -165,9 +166,13 @@
     path
 }
 
+/// A process that is being started holds, till it is another program, what its parent holds: a lock as well.
+static STARTS: Mutex<()> = Mutex::new(());
+
 #[test]
 fn a_folder_is_its_owners_and_one_process_s() {
     use std::os::unix::fs::PermissionsExt;
+    let _none_starts = STARTS.lock().unwrap_or_else(PoisonError::into_inner);
     let path = folder("lock");
     let mut held = Folder::open(&path).expect("made");
     assert!(matches!(Folder::open(&path), Err(OpenError::InUse)));
@@ -209,7 +214,9 @@
     for kill in 0..200 {
         let mut command = Command::new(std::env::current_exe().expect("this test"));
         command.args(["--exact", "writer", "--nocapture"]).env("PETRELDOCK_TEST_WRITER", &path);
+        let starts = STARTS.lock().unwrap_or_else(PoisonError::into_inner);
         let mut child = command.stdout(Stdio::piped()).stderr(Stdio::null()).spawn().expect("started");
+        drop(starts);
         let mut lines = BufReader::new(child.stdout.take().expect("piped")).lines();
         let saved = |l: std::io::Result<String>| l.ok()?.strip_prefix("saved ")?.parse::<u64>().ok();
         told = lines.by_ref().find_map(saved).unwrap_or(told);
