Answer what came whole ahead of garbage, and take IAX2 set-ups back within a turn

Read, then forced: a caller's INVITE was taken and out at its hub when something unreadable came behind it on the same connection; the front closed the connection and withdrew the call without a word, though the request was whole before the close. It is failed (500) and its hub told, as where a message stays half (front.rs, run; fail_open had it right). It takes a turn's commands together.

--- a/src/iax2/hub.rs
+++ b/src/iax2/hub.rs
@@ -10,7 +10,7 @@
 use super::{DEFAULT_FORMATS, FORM};
 use crate::core::{CallName, Cause, Clock, Description, FromHub, Input, LinkId, Note, SetUp, ToHub};
 use crate::interface::{Micros, Report};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::io;
 use std::net::SocketAddr;
 use tokio::net::UdpSocket;
@@ -19,6 +19,8 @@
 
 /// Calls at most; what is more is answered as not sent.
 const CALLS_MOST: usize = 8192;
+/// Commands that are taken in before anything is sent.
+const TURN: usize = 256;
 /// A socket that cannot be opened is tried again after this.
 const REOPEN: Duration = Duration::from_secs(1);
 
@@ -58,6 +60,27 @@
         self.calls.len()
     }
 
+    /// Does what the core says in one turn. A set-up that is given up later in the turn never goes out.
+    pub fn commands(&mut self, now: Micros, turn: &[ToHub]) {
+        let given_up = |command: &ToHub| match command {
+            ToHub::GiveUp(_, attempt) => Some(*attempt),
+            _ => None,
+        };
+        let given_up: HashSet<u64> = turn.iter().filter_map(given_up).collect();
+        let mut taken_back = HashSet::new();
+        for command in turn {
+            match command {
+                ToHub::SetUp(set_up) if given_up.contains(&set_up.attempt) => {
+                    taken_back.insert(set_up.attempt);
+                }
+                ToHub::GiveUp(call, attempt) if taken_back.remove(attempt) => {
+                    self.news.push(FromHub::GivenUp { attempt: *attempt, call: *call, began: false });
+                }
+                command => self.command(now, command.clone()),
+            }
+        }
+    }
+
     /// Does what the core says.
     pub fn command(&mut self, now: Micros, command: ToHub) {
         match command {
@@ -346,6 +369,7 @@
     let mut ticks = tokio::time::interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut datagram = vec![0; DATAGRAM_MOST];
+    let mut turn = Vec::new();
     let mut closed = false;
     while !closed {
         tokio::select! {
@@ -354,16 +378,14 @@
                 Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => link.refused(),
                 Err(_) => {}
             },
-            command = commands.recv() => match command {
-                None => {
-                    closed = true;
-                    link.command(clock.now(), ToHub::Close);
-                }
-                Some(command) => {
-                    closed = matches!(command, ToHub::Close);
-                    link.command(clock.now(), command);
+            count = commands.recv_many(&mut turn, TURN) => {
+                if count == 0 {
+                    turn.push(ToHub::Close);
                 }
-            },
+                closed = turn.iter().any(|c| matches!(c, ToHub::Close));
+                link.commands(clock.now(), &turn);
+                turn.clear();
+            }
             _ = ticks.tick() => link.tick(clock.now()),
         }
         for datagram in link.out.drain(..) {
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -354,6 +354,10 @@
 
     async fn run(&mut self, stream: &TcpStream, commands: &mut mpsc::Receiver<ToConnection>) -> End {
         loop {
+            // Danger: what came whole ahead of what cannot be read was taken, and would end without a word.
+            if self.ending && !self.open.is_empty() {
+                self.fail_open().await;
+            }
             let (busy, carries) = (!self.open.is_empty(), self.carried > 0);
             let half = !self.input.held().is_empty();
             if let Some(known) = self.front.board().connections.get_mut(&self.number) {
--- a/tests/iax2.rs
+++ b/tests/iax2.rs
@@ -527,3 +527,23 @@
     assert_eq!(gaps, [20, 20, 20]);
     assert!(matches!(frame::parse(&far.link.out[0]), Some(Frame::Full(_))), "the format comes first");
 }
+
+#[test]
+fn a_call_that_is_given_up_in_the_turn_of_its_set_up_never_goes_out() {
+    let mut link = Link::default();
+    let turn = [
+        set_up(1, 11, Micros(60_000_000)),
+        set_up(2, 12, Micros(60_000_000)),
+        ToHub::GiveUp(CallName(1), 11),
+        // Of an earlier turn, as far as this one can tell.
+        ToHub::GiveUp(CallName(3), 13),
+    ];
+    link.commands(SECOND, &turn);
+    let out: Vec<_> = link.out.iter().map(|d| full(d).subclass).collect();
+    assert_eq!(out, [iax::NEW], "the other one alone");
+    let given_up = |n: &FromHub| match n {
+        FromHub::GivenUp { attempt, began, .. } => (*attempt, *began),
+        other => panic!("{other:?}"),
+    };
+    assert_eq!(link.news.iter().map(given_up).collect::<Vec<_>>(), [(11, false), (13, true)]);
+}
