--- a/tests/front.rs
+++ b/tests/front.rs
@@ -121,30 +121,40 @@
     timeout(PATIENCE, counts(0)).await.expect("the others are gone");
 }
 
+/// Answers so long that the sockets take few of them before the caller reads.
+const LONG: usize = 12 * 1024;
+
+impl Desk {
+    /// Answers call after call of a caller that reads nothing, till an answer stays half written; how many.
+    async fn answer_till_it_sticks(&mut self, mut stream: &TcpStream) -> u64 {
+        let bytes = bytes::Bytes::from(vec![b'v'; LONG]);
+        let mut call = 0;
+        while self.owed.count() == 0 {
+            call += 1;
+            assert!(call < 5_000, "the sockets take all");
+            stream.write_all(message("INVITE", call).as_bytes()).expect("room");
+            let offer = self.offer().await;
+            let description = Description { form: petreldock::net::SDP, bytes: bytes.clone() };
+            let answer = ToFront::Answer(offer.origin, offer.call, description);
+            self.answers.send(answer).await.expect("taken");
+            let start = std::time::Instant::now();
+            while self.owed.count() > 0 && start.elapsed() < Duration::from_millis(100) {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+        }
+        call
+    }
+}
+
 #[tokio::test]
 async fn an_answer_that_its_caller_never_got_whole_is_released_at_its_hub() {
     let mut desk = desk().await;
     let stream = desk.caller(false).await;
-    let body = bytes::Bytes::from(vec![b'v'; 12 * 1024]);
-    let (mut answered, mut call) = (0, 0);
-    // The caller reads nothing: answers are given till one of them stays half written.
-    while desk.owed.count() == 0 || answered == 0 {
-        call += 1;
-        (&stream).write_all(message("INVITE", call).as_bytes()).expect("room");
-        let offer = desk.offer().await;
-        let description = Description { form: petreldock::net::SDP, bytes: body.clone() };
-        desk.answers.send(ToFront::Answer(offer.origin, offer.call, description)).await.expect("taken");
-        let start = std::time::Instant::now();
-        while desk.owed.count() > 0 && start.elapsed() < Duration::from_millis(100) {
-            tokio::time::sleep(Duration::from_millis(1)).await;
-        }
-        answered += 1;
-        assert!(answered < 5_000, "the sockets take all");
-    }
+    let last = desk.answer_till_it_sticks(&stream).await;
     // It leaves: the last one is nobody's, and of the others all was written.
     drop(stream);
     let input = timeout(PATIENCE, desk.inputs.recv()).await.expect("in time");
-    assert!(matches!(input, Some(Input::Hangup(_, CallName(c), Cause::NORMAL)) if c == call), "{input:?}");
+    assert!(matches!(input, Some(Input::Hangup(_, CallName(c), Cause::NORMAL)) if c == last), "{input:?}");
     let more = timeout(Duration::from_millis(100), desk.inputs.recv()).await;
     assert!(more.is_err(), "{more:?}");
 }
@@ -153,28 +163,16 @@
 async fn an_answer_half_written_to_a_slow_reader_is_owed_until_its_last_byte_is_out() {
     let mut desk = desk().await;
     let mut stream = desk.caller(false).await;
-    let body = bytes::Bytes::from(vec![b'v'; 12 * 1024]);
-    let mut call = 0;
-    while desk.owed.count() == 0 || call == 0 {
-        call += 1;
-        stream.write_all(message("INVITE", call).as_bytes()).expect("room");
-        let offer = desk.offer().await;
-        let description = Description { form: petreldock::net::SDP, bytes: body.clone() };
-        desk.answers.send(ToFront::Answer(offer.origin, offer.call, description)).await.expect("taken");
-        let start = std::time::Instant::now();
-        while desk.owed.count() > 0 && start.elapsed() < Duration::from_millis(100) {
-            tokio::time::sleep(Duration::from_millis(1)).await;
-        }
-    }
+    let last = desk.answer_till_it_sticks(&stream).await;
     let (mut read, mut bytes) = (Vec::new(), [0; 4096]);
-    while desk.owed.count() > 0 || read.len() < call as usize * body.len() {
+    while desk.owed.count() > 0 || read.len() < last as usize * LONG {
         match stream.read(&mut bytes) {
             Ok(count) if count > 0 => read.extend_from_slice(&bytes[..count]),
             Ok(_) => panic!("closed with {} bytes read", read.len()),
             Err(_) => tokio::time::sleep(Duration::from_millis(1)).await,
         }
     }
-    assert_eq!(read.windows(12).filter(|w| w == b"SIP/2.0 200 ").count() as u64, call, "each of them whole");
+    assert_eq!(read.windows(12).filter(|w| w == b"SIP/2.0 200 ").count() as u64, last, "each of them whole");
 }
 
 #[tokio::test]
--- a/tests/links.rs
+++ b/tests/links.rs
@@ -328,9 +328,8 @@
     }
 }
 
-#[tokio::test]
-async fn an_answer_to_what_was_given_up_is_not_taken_for_the_next_attempts() {
-    let mut pair = Pair::new().await;
+/// Call 1 is given up on a connection, and out again on the other; the first and the second.
+async fn sent_again(pair: &mut Pair) -> (usize, usize) {
     let first = pair.set_up(1).await;
     pair.commands.send(ToHub::GiveUp(CallName(1), 2)).await.expect("taken");
     assert!(matches!(pair.news().await, FromHub::GivenUp { attempt: 2, began: true, .. }));
@@ -340,6 +339,13 @@
     let busy = pair.set_up(7).await;
     let again = pair.set_up(1).await;
     assert_ne!(busy, again);
+    (busy, again)
+}
+
+#[tokio::test]
+async fn an_answer_to_what_was_given_up_is_not_taken_for_the_next_attempts() {
+    let mut pair = Pair::new().await;
+    let (busy, again) = sent_again(&mut pair).await;
     let mut late = Vec::new();
     binary::write(&mut late, binary::kind::ANSWER, 1, &[(binary::code::DESCRIPTION, b"late")]);
     pair.hub[busy].write_all(&late).await.expect("written");
@@ -431,14 +437,7 @@
 #[tokio::test]
 async fn a_refusal_of_what_was_given_up_is_not_taken_for_the_next_attempts() {
     let mut pair = Pair::new().await;
-    let first = pair.set_up(1).await;
-    pair.commands.send(ToHub::GiveUp(CallName(1), 2)).await.expect("taken");
-    assert!(matches!(pair.news().await, FromHub::GivenUp { attempt: 2, began: true, .. }));
-    let mut give_up = [0; 256];
-    timeout(PATIENCE, pair.hub[first].read(&mut give_up)).await.expect("in time").expect("open");
-    let busy = pair.set_up(7).await;
-    let again = pair.set_up(1).await;
-    assert_ne!(busy, again);
+    let (busy, again) = sent_again(&mut pair).await;
     // Danger: 'full' proves that nothing runs, and the call would go elsewhere while this attempt is out.
     write_now(&pair.hub[busy], &message(binary::kind::RELEASE, 1, Some(34)));
     write_now(&pair.hub[busy], &message(binary::kind::RELEASE, 1, Some(41)));
