--- a/tests/ends.rs
+++ b/tests/ends.rs
@@ -4,12 +4,15 @@
 
 #[path = "common/peers.rs"]
 mod peers;
+#[path = "common/script.rs"]
+mod script;
 #[path = "common/site.rs"]
 mod site;
 
 use peers::*;
-use petreldock::net::binary::{self, code, kind};
-use std::io::{ErrorKind, Read, Write};
+use petreldock::net::binary::{code, kind};
+use script::*;
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{PoisonError, RwLock, RwLockReadGuard};
 use std::thread::sleep;
@@ -24,151 +27,13 @@
     QUIET.read().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// One connection to a [`Script`], as its hub sees it.
-struct Link {
-    stream: TcpStream,
-    input: Vec<u8>,
-    open: bool,
-}
-
-/// What a [`Script`] was sent.
-#[derive(Clone, Debug, PartialEq)]
-struct Sent {
-    link: usize,
-    kind: u8,
-    call: u64,
-    class: String,
-    wait: u64,
-    cause: Option<u8>,
-}
-
-/// A hub that says nothing by itself: the test takes in and answers, one step after the other.
-struct Script {
-    listener: TcpListener,
-    address: SocketAddr,
-    links: Vec<Link>,
-    sent: Vec<Sent>,
-}
-
-impl Script {
-    fn new() -> Script {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-        listener.set_nonblocking(true).expect("set");
-        let address = listener.local_addr().expect("an address");
-        Script { listener, address, links: Vec::new(), sent: Vec::new() }
-    }
-
-    /// One whose connections take little before it reads.
-    fn narrow() -> Script {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-        let listener = runtime.block_on(async {
-            let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
-            socket.set_recv_buffer_size(4096).expect("set");
-            socket.bind("127.0.0.1:0".parse().expect("an address")).expect("bound");
-            socket.listen(16).expect("listens").into_std().expect("handed over")
-        });
-        listener.set_nonblocking(true).expect("set");
-        let address = listener.local_addr().expect("an address");
-        Script { listener, address, links: Vec::new(), sent: Vec::new() }
-    }
-
-    fn target(&self, number: i64) -> String {
-        site::target(&format!("s-{number}"), &self.address.to_string(), number, "in_service")
-    }
-
-    /// Takes in all that is there.
-    fn take_in(&mut self) {
-        while let Ok((stream, _)) = self.listener.accept() {
-            stream.set_nonblocking(true).expect("set");
-            self.links.push(Link { stream, input: Vec::new(), open: true });
-        }
-        for (number, link) in self.links.iter_mut().enumerate().filter(|(_, l)| l.open) {
-            let mut bytes = [0; 4096];
-            loop {
-                match link.stream.read(&mut bytes) {
-                    Ok(count) if count > 0 => link.input.extend_from_slice(&bytes[..count]),
-                    Err(error) if error.kind() == ErrorKind::WouldBlock => break,
-                    Ok(_) | Err(_) => {
-                        link.open = false;
-                        break;
-                    }
-                }
-            }
-            while let Some(read) = binary::parse(&link.input).expect("whole messages") {
-                let (kind, call, cause) = (read.kind, read.call, read.cause());
-                let class = read.text(code::CLASS).unwrap_or("").to_string();
-                let wait = read.text(code::WAIT).map_or(0, |w| w.parse().expect("a number"));
-                let used = read.bytes;
-                link.input.drain(..used);
-                self.sent.push(Sent { link: number, kind, call, class, wait, cause });
-            }
-        }
-    }
-
-    /// Waits for a set-up, the `count`-th of its call.
-    fn set_up(&mut self, call: u64, count: usize) -> Sent {
-        until(&format!("set-up {count} of {call:x}"), || {
-            self.take_in();
-            let mut of_call = self.sent.iter().filter(|s| s.kind == kind::SET_UP && s.call == call);
-            of_call.nth(count - 1).cloned()
-        })
-    }
-
-    /// Waits for a give-up or release.
-    fn release(&mut self, call: u64) -> Sent {
-        until(&format!("a release of {call:x}"), || {
-            self.take_in();
-            self.sent.iter().find(|s| s.kind == kind::RELEASE && s.call == call).cloned()
-        })
-    }
-
-    /// How often a call was set up here.
-    fn set_ups(&mut self, call: u64) -> usize {
-        self.take_in();
-        self.sent.iter().filter(|s| s.kind == kind::SET_UP && s.call == call).count()
-    }
-
-    fn say(&mut self, link: usize, kind: u8, call: u64, parameters: &[(u8, &[u8])]) {
-        let mut bytes = Vec::new();
-        assert!(binary::write(&mut bytes, kind, call, parameters));
-        self.links[link].stream.write_all(&bytes).expect("written");
-    }
-
-    fn answer(&mut self, to: &Sent) {
-        self.say(to.link, kind::ANSWER, to.call, &[(code::DESCRIPTION, HUB_BODY)]);
-    }
-
-    fn reset(&mut self, to: &Sent) {
-        self.say(to.link, kind::RELEASE, to.call, &[(code::CAUSE, &[41])]);
-    }
-}
-
-fn status(caller: &mut Caller, call: u64) -> u16 {
-    caller.answer(call).unwrap_or_else(|| panic!("no answer to {call:x}")).0
-}
-
-/// Whether the connection ends without a reset, and all that was said on it till then.
-fn end_of(mut stream: TcpStream) -> (bool, Vec<u8>) {
-    stream.set_read_timeout(Some(PATIENCE)).expect("set");
-    let mut bytes = Vec::new();
-    (stream.read_to_end(&mut bytes).is_ok(), bytes)
-}
-
-/// The settings with an aim so late that no hub looks silent meanwhile.
-fn unhurried(text: String) -> String {
-    text.replace(
-        "\"objective\":1000000,\"deadline\":6000000",
-        "\"objective\":100000000,\"deadline\":120000000",
-    )
-}
-
 // ---- exits ----
 
 #[test]
 fn what_waits_in_sockets_when_a_planned_end_is_due_is_answered_first() {
     let _quiet = quiet();
     for in_flight in [false, true] {
-        let mut hub = Script::new();
+        let mut hub = ScriptedHub::new();
         let mut program = Program::changed(&[hub.target(0)], None, unhurried);
         let mut callers: Vec<Caller> = (0..4).map(|_| Caller::connect(program.address)).collect();
         let mut set_ups = Vec::new();
@@ -211,15 +76,10 @@
     }
 }
 
-/// The settings with a class that may run once only, and short deadlines.
-fn once(text: String) -> String {
-    text.replace("\"idempotency\":\"free\"", "\"idempotency\":\"single_shot\"")
-}
-
 #[test]
 fn what_may_have_run_is_never_called_refused_at_a_planned_end() {
     let _quiet = quiet();
-    let mut hub = Script::new();
+    let mut hub = ScriptedHub::new();
     let short = |text: String| once(text).replace("\"deadline\":6000000", "\"deadline\":1000000");
     let program = Program::changed(&[hub.target(0)], None, short);
     let mut caller = Caller::connect(program.address);
@@ -234,7 +94,7 @@
 #[test]
 fn a_start_under_the_same_name_takes_nothing_of_the_old_run_for_its_own() {
     let _quiet = quiet();
-    let mut hub = Script::new();
+    let mut hub = ScriptedHub::new();
     let mut old = Program::start(&[hub.target(0)], None, None);
     let mut caller = Caller::connect(old.address);
     for call in [0xc0, 0xc1] {
@@ -267,7 +127,7 @@
 #[test]
 fn a_last_word_is_followed_by_an_end_and_not_by_a_reset() {
     let _quiet = quiet();
-    let hub = Script::new();
+    let hub = ScriptedHub::new();
     let program = Program::start(&[hub.target(0)], None, None);
     let stream = TcpStream::connect(program.address).expect("it listens");
     let unreadable = request("INVITE", 0xd0, "Content-Length: many\r\n", b"");
@@ -287,7 +147,7 @@
 #[test]
 fn what_came_whole_ahead_of_what_cannot_be_read_is_answered() {
     let _quiet = quiet();
-    let mut hub = Script::new();
+    let mut hub = ScriptedHub::new();
     let program = Program::start(&[hub.target(0)], None, None);
     let stream = TcpStream::connect(program.address).expect("it listens");
     (&stream).write_all(&invitation(0xd8, 15_000, 0)).expect("written");
@@ -302,7 +162,7 @@
 #[test]
 fn neither_a_whole_request_nor_half_of_one_is_evicted_with_its_connection() {
     let _quiet = quiet();
-    let mut hub = Script::new();
+    let mut hub = ScriptedHub::new();
     // 32 connections may be open, and from 24 on idle ones make room, the oldest first.
     let program = Program::start_with(&[hub.target(0)], None, None, (1024, 64));
     let mut idle: Vec<Caller> = (0..22).map(|_| Caller::connect(program.address)).collect();
@@ -341,8 +201,8 @@
 fn a_reset_under_a_set_up_that_may_run_once_is_answered_and_never_sent_again() {
     let _quiet = quiet();
     for by_close in [false, true] {
-        let mut hub = Script::new();
-        let mut other = Script::new();
+        let mut hub = ScriptedHub::new();
+        let mut other = ScriptedHub::new();
         let program = Program::changed(&[hub.target(0), other.target(1)], None, once);
         let mut caller = Caller::connect(program.address);
         caller.invite(0xf0, 15_000, 0);
@@ -372,7 +232,7 @@
 #[test]
 fn a_set_up_whose_caller_left_before_it_was_read_is_not_sent_on() {
     let _quiet = quiet();
-    let mut hub = Script::new();
+    let mut hub = ScriptedHub::new();
     let program = Program::start(&[hub.target(0)], None, None);
     let mut stays = Caller::connect(program.address);
     let mut cancels = Caller::connect(program.address);
@@ -397,7 +257,7 @@
 #[test]
 fn a_call_whose_caller_leaves_in_the_pause_is_not_sent_again() {
     let _quiet = quiet();
-    let mut hub = Script::new();
+    let mut hub = ScriptedHub::new();
     let long = |text: String| text.replace("\"release\":200000", "\"release\":3000000");
     let program = Program::changed(&[hub.target(0)], None, long);
     let [mut closes, mut cancels, mut stays] = [(); 3].map(|()| Caller::connect(program.address));
@@ -439,7 +299,7 @@
     let _quiet = quiet();
     let (listener, filling) = shut();
     let address = listener.local_addr().expect("an address");
-    let mut hub = Script { listener, address, links: Vec::new(), sent: Vec::new() };
+    let mut hub = ScriptedHub { listener, address, links: Vec::new(), sent: Vec::new() };
     // A dial may come up late: here, as soon as the queue is emptied and the kernel has tried again.
     let patient = |text: String| text.replace("\"dialTimeout\":500000", "\"dialTimeout\":15000000");
     let program = Program::changed(&[hub.target(0)], None, patient);
@@ -464,7 +324,7 @@
 #[test]
 fn a_call_whose_caller_leaves_behind_a_hub_that_stopped_reading_never_comes_there() {
     let _quiet = quiet();
-    let mut hub = Script::narrow();
+    let mut hub = ScriptedHub::narrow();
     let debug = Some(r#"{"log":{"level":"debug"}}"#);
     let program = Program::launch(free_address(), &[hub.target(0)], None, debug, 1024, unhurried);
     let mut stays = Caller::connect(program.address);
@@ -513,7 +373,7 @@
     let _quiet = quiet();
     let (listener, _filling) = shut();
     let shut = site::target("s-0", &listener.local_addr().expect("an address").to_string(), 0, "in_service");
-    let mut hub = Script::new();
+    let mut hub = ScriptedHub::new();
     let program = Program::start(&[shut, hub.target(1)], None, None);
     let mut caller = Caller::connect(program.address);
     caller.invite(0x40, 15_000, 0);
@@ -539,7 +399,7 @@
 #[test]
 fn each_request_on_a_connection_has_its_own_class_deadline_and_rules() {
     let _quiet = quiet();
-    let mut hub = Script::new();
+    let mut hub = ScriptedHub::new();
     let program = Program::changed(&[hub.target(0)], None, two_classes);
     let mut caller = Caller::connect(program.address);
     let mut call = 0x100;
@@ -627,7 +487,7 @@
 #[test]
 fn a_drain_told_to_a_silent_watch_counts_from_when_it_may_have_been_heard() {
     let _quiet = quiet();
-    let (mut hub, mut other) = (Script::new(), Script::new());
+    let (mut hub, mut other) = (ScriptedHub::new(), ScriptedHub::new());
     let log = TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = log.local_addr().expect("an address");
     let drain = site::target("s-0", &hub.address.to_string(), 0, "terminating");
@@ -672,7 +532,7 @@
 #[test]
 fn a_hung_poll_does_not_keep_a_reload_waiting() {
     let _quiet = quiet();
-    let hub = Script::new();
+    let hub = ScriptedHub::new();
     let [old, new] = [(); 2].map(|()| TcpListener::bind("127.0.0.1:0").expect("a port"));
     let [from, to] = [&old, &new].map(|l| l.local_addr().expect("an address").to_string());
     let old_address = old.local_addr().expect("an address");
