Move the SIP front's test harness to a file of its own, for the tests that come

Tests of silent callers need the front inside the test's process too. The harness of tests/front.rs moves to tests/front/desk.rs unchanged but for visibility and doc comments.

--- a/tests/front.rs
+++ b/tests/front.rs
@@ -1,72 +1,16 @@
 //! The SIP front on a starved processor, and what it owes its callers.
 
-#[path = "common/site.rs"]
-mod site;
+#[path = "front/desk.rs"]
+mod desk;
 
+use desk::{desk, message, Desk, PATIENCE};
 use petreldock::core::*;
 use petreldock::interface::Micros;
-use petreldock::net::front;
-use petreldock::net::owed::Owed;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::TcpStream;
 use std::time::Duration;
-use tokio::net::TcpListener;
-use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
 
-const PATIENCE: Duration = Duration::from_secs(20);
-
-struct Desk {
-    address: SocketAddr,
-    inputs: mpsc::Receiver<Input>,
-    answers: mpsc::Sender<ToFront>,
-    owed: Owed,
-    _status: watch::Sender<Status>,
-}
-
-async fn desk() -> Desk {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    let address = listener.local_addr().expect("an address");
-    let (core, inputs) = mpsc::channel(QUEUE);
-    let (answers, to_front) = mpsc::channel(ANSWERS);
-    let (sender, status) = watch::channel(Status { settled: true, ..Status::default() });
-    let owed = Owed::default();
-    let (id, sockets, clock) = (FrontId(0), 1024, Clock::system());
-    let desk = front::Desk { id, sockets, clock, core, status, owed: owed.clone() };
-    tokio::spawn(front::run(desk, listener, to_front));
-    Desk { address, inputs, answers, owed, _status: sender }
-}
-
-fn message(method: &str, call: u64) -> String {
-    format!(
-        "{method} sip:1@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: {call:016x}\r\nCSeq: 1 {method}\r\n\
-         Call-Kind: voice\r\nAnswer-Within: 30000\r\nContent-Length: 0\r\n\r\n"
-    )
-}
-
-impl Desk {
-    /// A caller whose connection the front has taken in, as its answer to a test shows.
-    async fn caller(&self, silent: bool) -> TcpStream {
-        let mut stream = TcpStream::connect(self.address).expect("it listens");
-        stream.set_nonblocking(true).expect("set");
-        let said = if silent { &message("OPTIONS", 0)[..20] } else { &message("OPTIONS", 0) };
-        stream.write_all(said.as_bytes()).expect("written");
-        let mut bytes = [0; 512];
-        while !silent && stream.read(&mut bytes).is_err() {
-            tokio::time::sleep(Duration::from_millis(1)).await;
-        }
-        tokio::time::sleep(Duration::from_millis(1)).await;
-        stream
-    }
-
-    async fn offer(&mut self) -> Offer {
-        match timeout(PATIENCE, self.inputs.recv()).await.expect("in time") {
-            Some(Input::Offer(offer)) => offer,
-            other => panic!("a set-up was expected, not {other:?}"),
-        }
-    }
-}
-
 #[tokio::test]
 async fn a_set_up_that_came_before_its_connections_time_was_up_is_taken_however_late_it_is_read() {
     const EACH: u64 = 12;
--- /dev/null
+++ b/tests/front/desk.rs
@@ -0,0 +1,70 @@
+//! The SIP front inside the test's own process, with the test as its core.
+#![allow(dead_code)]
+
+use petreldock::core::*;
+use petreldock::net::front;
+use petreldock::net::owed::Owed;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+use tokio::time::timeout;
+
+/// Generous, so that a slow machine gives the same verdict.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// A front of its own with this test as its core.
+pub struct Desk {
+    pub address: SocketAddr,
+    pub inputs: mpsc::Receiver<Input>,
+    pub answers: mpsc::Sender<ToFront>,
+    pub owed: Owed,
+    _status: watch::Sender<Status>,
+}
+
+/// Starts one at a free port.
+pub async fn desk() -> Desk {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let (core, inputs) = mpsc::channel(QUEUE);
+    let (answers, to_front) = mpsc::channel(ANSWERS);
+    let (sender, status) = watch::channel(Status { settled: true, ..Status::default() });
+    let owed = Owed::default();
+    let (id, sockets, clock) = (FrontId(0), 1024, Clock::system());
+    let desk = front::Desk { id, sockets, clock, core, status, owed: owed.clone() };
+    tokio::spawn(front::run(desk, listener, to_front));
+    Desk { address, inputs, answers, owed, _status: sender }
+}
+
+/// A request as callers write it.
+pub fn message(method: &str, call: u64) -> String {
+    format!(
+        "{method} sip:1@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: {call:016x}\r\nCSeq: 1 {method}\r\n\
+         Call-Kind: voice\r\nAnswer-Within: 30000\r\nContent-Length: 0\r\n\r\n"
+    )
+}
+
+impl Desk {
+    /// A caller whose connection the front has taken in, as its answer to a test shows.
+    pub async fn caller(&self, silent: bool) -> TcpStream {
+        let mut stream = TcpStream::connect(self.address).expect("it listens");
+        stream.set_nonblocking(true).expect("set");
+        let said = if silent { &message("OPTIONS", 0)[..20] } else { &message("OPTIONS", 0) };
+        stream.write_all(said.as_bytes()).expect("written");
+        let mut bytes = [0; 512];
+        while !silent && stream.read(&mut bytes).is_err() {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        tokio::time::sleep(Duration::from_millis(1)).await;
+        stream
+    }
+
+    /// The next set-up that the front hands to its core.
+    pub async fn offer(&mut self) -> Offer {
+        match timeout(PATIENCE, self.inputs.recv()).await.expect("in time") {
+            Some(Input::Offer(offer)) => offer,
+            other => panic!("a set-up was expected, not {other:?}"),
+        }
+    }
+}
