Repeat a release that a silent connection of callers swallows on another one

A caller's machine that vanished, or a network that was cut, leaves its connection open. A BYE written there was sent elsewhere only if the connection ended within 1 s, so it was lost; clients are owed the release within 1 s of the hub's.

A BYE without a 200 now goes on another connection after 300 ms and a second check 50 ms later, on a third one after as long again, and else on the next one that opens. No BYE is repeated on a connection that was read from later than a round trip (100 ms) after it was written whole: that does not prove that it was read, but that the path works, and TCP keeps order. Bytes read sooner may have been sent before the path was cut. A clean end counts as a sign of life as well, and is followed by a resend within 1 s as before. What waits in the socket is taken in before a BYE is judged. A connection on which a BYE is overdue is avoided until it is heard from. Other connections are ranked by when they were last heard from; they were ranked by last use, and being written to counted as use.

The tracker is a state machine without I/O and clock; table, repeats a call, batch and time kept are bounded by named constants.

Ruled out: repeating on all connections at once (traffic), any byte read after the BYE as a sign of life (see above), no second check (a machine that stood still as a whole leaves callers no time to answer; no test of the wired front tells the difference, a unit test of the tracker does).

--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -1,5 +1,8 @@
 //! The SIP front: callers' connections, and what goes back to them.
 
+mod release_tracker;
+
+use self::release_tracker::{Release, ReleaseTracker};
 use super::buffer::{Buffer, MESSAGE_MOST};
 use super::owed::{Debt, Owed};
 use super::sip::{self, Malformed, Message, Start};
@@ -7,7 +10,8 @@
 use crate::core::{CallName, Cause, Clock, Description, FrontId, Input, Offer, Origin, Status, ToFront};
 use crate::interface::Micros;
 use bytes::Bytes;
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -44,11 +48,11 @@
 /// Releases that may wait for a connection, and how long they do.
 const PARKED_MOST: usize = 8192;
 const PARKED_KEPT: Duration = Duration::from_secs(10);
-/// A release that was written is sent again elsewhere if its connection ends, unheard, within this.
-const RELEASE_UNHEARD: Duration = Duration::from_secs(1);
 
 enum ToConnection {
     Core(ToFront),
+    /// A call that was not set up on this connection, or whose own connection could not take its release.
+    Release(Release),
     /// Descriptors are short: end if no set-up is open.
     CloseIdle,
 }
@@ -56,6 +60,12 @@
 struct Known {
     sender: mpsc::Sender<ToConnection>,
     used: Instant,
+    /// When something was last read from it, once a whole request came.
+    heard: Option<Instant>,
+    /// A release on it is overdue, and nothing has been read since.
+    is_silent: bool,
+    /// It takes no more bytes for now.
+    is_full: bool,
     /// Set-ups are open on it, or a message is half there: it may not be closed to make room.
     busy: bool,
     /// Calls that were answered on it stand.
@@ -64,6 +74,22 @@
     asked: bool,
 }
 
+impl Known {
+    /// A connection that was just accepted.
+    fn new(sender: mpsc::Sender<ToConnection>) -> Known {
+        Known {
+            sender,
+            used: Instant::now(),
+            heard: None,
+            is_silent: false,
+            is_full: false,
+            busy: false,
+            carries: false,
+            asked: false,
+        }
+    }
+}
+
 /// Who is connected, and what waits for a connection.
 #[derive(Default)]
 struct Board {
@@ -71,7 +97,7 @@
     connections: BTreeMap<u64, Known>,
     /// Connections that are shut for writing, and read on for a little while.
     lingering: usize,
-    parked: VecDeque<(Instant, CallName, Cause)>,
+    parked: VecDeque<(Instant, Release)>,
 }
 
 impl Board {
@@ -85,24 +111,48 @@
             ToFront::Release(origin, ..) => *origin,
         };
         let own = origin.and_then(|o| self.connections.get(&o.0));
+        // What a silent connection would swallow need not wait there first.
+        let is_release = matches!(message, ToFront::Release(..));
+        let own = own.filter(|known| !is_release || !known.is_silent);
         let message = match own.map(|k| k.sender.try_send(ToConnection::Core(message.clone()))) {
             Some(Ok(())) => return None,
             _ => message,
         };
         let ToFront::Release(_, call, cause) = message else { return Some(message) };
-        // No connection owns a call that stands: any will do, the one used last first.
-        let mut others: Vec<&Known> = self.connections.values().collect();
-        others.sort_by_key(|k| std::cmp::Reverse(k.used));
-        for other in others {
-            if other.sender.try_send(ToConnection::Core(ToFront::Release(None, call, cause))).is_ok() {
-                return None;
-            }
+        self.release(Release::new(call, cause));
+        None
+    }
+
+    /// Sends a release on any connection, or else on the next one: no connection owns a call that stands.
+    fn release(&mut self, release: Release) {
+        if self.release_on(&release, |_| true) {
+            return;
         }
         self.parked.retain(|(since, ..)| since.elapsed() < PARKED_KEPT);
         if self.parked.len() < PARKED_MOST {
-            self.parked.push_back((Instant::now(), call, cause));
+            self.parked.push_back((Instant::now(), release));
         }
-        None
+    }
+
+    /// Sends a release that was swallowed on another connection, if there is one that seems to live.
+    fn repeat(&mut self, release: Release) -> bool {
+        self.release_on(&release, |known| !known.is_silent && !known.is_full)
+    }
+
+    /// Sends a release on one of these connections that did not swallow it before: best on one that is not
+    /// silent, and of these on the one heard from last.
+    fn release_on(&self, release: &Release, suits: impl Fn(&Known) -> bool) -> bool {
+        let others = self.connections.iter().filter(|(number, _)| !release.tried.contains(number));
+        let suitable = others.filter(|(_, known)| suits(known));
+        let mut ranked: BinaryHeap<_> =
+            suitable.map(|(number, known)| (Reverse(known.is_silent), known.heard, *number)).collect();
+        while let Some((.., number)) = ranked.pop() {
+            let sent = self.connections[&number].sender.try_send(ToConnection::Release(release.clone()));
+            if sent.is_ok() {
+                return true;
+            }
+        }
+        false
     }
 
     /// Asks `count` connections to end on which nothing is open: first those without a call that stands,
@@ -208,11 +258,9 @@
                     let mut board = front.board();
                     board.last += 1;
                     let number = board.last;
-                    let known =
-                        Known { sender, used: Instant::now(), busy: false, carries: false, asked: false };
-                    board.connections.insert(number, known);
-                    for (_, call, cause) in std::mem::take(&mut board.parked) {
-                        board.route(ToFront::Release(Some(Origin(number)), call, cause));
+                    board.connections.insert(number, Known::new(sender));
+                    for (_, release) in std::mem::take(&mut board.parked) {
+                        board.release(release);
                     }
                     number
                 };
@@ -228,15 +276,6 @@
     }
 }
 
-/// A release on its way to a caller.
-struct Unheard {
-    since: Instant,
-    /// How many bytes will be written once it is.
-    end: u64,
-    call: CallName,
-    cause: Cause,
-}
-
 /// A set-up that is open on a connection.
 struct Open {
     headers: Vec<(String, String)>,
@@ -253,7 +292,9 @@
     /// Answers that stand in the output, with how many bytes will be written once they are.
     answers: VecDeque<(u64, CallName)>,
     /// Releases written or to be written, till their 200 comes.
-    unheard: VecDeque<Unheard>,
+    releases: ReleaseTracker,
+    /// When something was last read.
+    heard: Option<Instant>,
     /// Calls answered here that stand, as far as is seen here: their BYE may come on another connection.
     carried: usize,
     /// A request came that is owed an answer.
@@ -280,7 +321,8 @@
         open: HashMap::new(),
         written: 0,
         answers: VecDeque::new(),
-        unheard: VecDeque::new(),
+        releases: ReleaseTracker::new(number),
+        heard: None,
         carried: 0,
         spoke: false,
         half_since: Some(Instant::now()),
@@ -296,7 +338,7 @@
         board.lingering += usize::from(lingers);
     }
     commands.close();
-    let Connection { open, written, answers, unheard, mut input, mut debt, .. } = connection;
+    let Connection { open, written, answers, releases, mut input, mut debt, .. } = connection;
     let mut calls: Vec<CallName> = open.into_keys().collect();
     calls.sort();
     for call in calls {
@@ -306,9 +348,8 @@
     for (_, call) in answers.into_iter().filter(|(end, _)| *end > written) {
         let _ = front.core.send(Input::Hangup(front.id, call, Cause::NORMAL)).await;
     }
-    let owed = |u: &Unheard| u.end > written || u.since.elapsed() < RELEASE_UNHEARD;
-    for Unheard { call, cause, .. } in unheard.into_iter().filter(owed) {
-        front.board().route(ToFront::Release(None, call, cause));
+    for release in releases.end(Instant::now()) {
+        front.board().release(release);
     }
     while let Ok(command) = commands.try_recv() {
         match command {
@@ -318,6 +359,7 @@
             ToConnection::Core(release @ ToFront::Release(..)) => {
                 front.board().route(release);
             }
+            ToConnection::Release(release) => front.board().release(release),
             _ => {}
         }
     }
@@ -360,10 +402,6 @@
             }
             let (busy, carries) = (!self.open.is_empty(), self.carried > 0);
             let half = !self.input.held().is_empty();
-            if let Some(known) = self.front.board().connections.get_mut(&self.number) {
-                (known.used, known.busy, known.carries) = (self.used, busy || half, carries);
-                known.asked = false;
-            }
             let idle_at = self.used + if carries { IDLE_WITH_CALLS } else { IDLE };
             let whole_by = self.half_since.map(|since| since + WHOLE);
             match stream.try_write(&self.output) {
@@ -377,6 +415,8 @@
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(_) => return End::Gone,
             }
+            self.releases.wrote(Instant::now(), self.written);
+            self.show(busy || half, carries);
             self.debt.set(self.owes());
             if self.output.len() > OUTPUT_MOST {
                 return End::Gone;
@@ -384,6 +424,7 @@
             if self.ending && self.output.is_empty() {
                 return End::Ours;
             }
+            let check_at = self.releases.check_at();
             tokio::select! {
                 readable = stream.readable(), if !self.ending => {
                     if readable.is_err() || matches!(self.look(stream).await, Look::Ended) {
@@ -397,6 +438,7 @@
                 }
                 command = commands.recv() => match command {
                     Some(ToConnection::Core(message)) => self.tell(message).await,
+                    Some(ToConnection::Release(release)) => self.release(release),
                     // Danger: what came since it was chosen is looked at first; half a request counts.
                     Some(ToConnection::CloseIdle) if self.owes() == 0 => {
                         if !matches!(self.look(stream).await, Look::Taken) {
@@ -420,12 +462,36 @@
                         Look::Ended => return End::Gone,
                     }
                 }
+                // Danger: a 200 that waits in the socket is taken in first.
+                _ = tokio::time::sleep_until(check_at.unwrap_or(idle_at)), if check_at.is_some() => {
+                    if !self.ending && matches!(self.look(stream).await, Look::Ended) {
+                        return End::Gone;
+                    }
+                    self.repeat_overdue();
+                }
                 // It does not read its last words either.
                 _ = tokio::time::sleep_until(self.used + WHOLE), if self.ending => return End::Gone,
             }
         }
     }
 
+    /// Shows the front's other tasks how the connection is.
+    fn show(&self, busy: bool, carries: bool) {
+        if let Some(known) = self.front.board().connections.get_mut(&self.number) {
+            (known.used, known.busy, known.carries) = (self.used, busy, carries);
+            known.heard = self.heard.filter(|_| self.spoke);
+            known.is_silent = self.releases.is_silent();
+            known.is_full = !self.output.is_empty();
+            known.asked = false;
+        }
+    }
+
+    /// Sends the releases that this connection's caller seems not to hear on other connections.
+    fn repeat_overdue(&mut self) {
+        let mut board = self.front.board();
+        self.releases.check(Instant::now(), |release| board.repeat(release));
+    }
+
     /// Takes in what the socket has. Danger: where the processor is short, a time limit and what came long
     /// before it are seen at the same moment; a set-up that waits here is taken, and a connection closed for
     /// its silence would lose it.
@@ -439,13 +505,21 @@
                 Ok(count) if count > 0 => {
                     look = Look::Taken;
                     self.used = Instant::now();
+                    self.heard = Some(self.used);
+                    self.releases.read(self.used);
                     self.take_in(self.front.clock.now(), &mut inputs);
                     if self.ending {
                         break;
                     }
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
-                Ok(_) | Err(_) => {
+                Ok(_) => {
+                    // Its end is a sign of life too.
+                    self.releases.read(Instant::now());
+                    look = Look::Ended;
+                    break;
+                }
+                Err(_) => {
                     look = Look::Ended;
                     break;
                 }
@@ -510,7 +584,7 @@
     fn message(&mut self, message: &Message, arrived: Micros, inputs: &mut Vec<Input>) {
         let Start::Request(method, uri) = message.start else {
             if let (Some((_, "BYE")), Some(call)) = (message.cseq(), call_name(message)) {
-                self.unheard.retain(|u| u.call != call);
+                self.releases.confirmed(call);
             }
             return;
         };
@@ -629,36 +703,38 @@
             }
             ToFront::Release(origin, call, cause) => {
                 self.carried -= usize::from(origin.is_some() && self.carried > 0);
-                let heard = |u: &Unheard| u.end <= self.written && u.since.elapsed() >= RELEASE_UNHEARD;
-                while self.unheard.front().is_some_and(heard) {
-                    self.unheard.pop_front();
-                }
-                let listen = self.front.listen;
-                let (id, reason) = (format!("{:016x}", call.0), format!("Q.850;cause={}", cause.0));
-                let via = format!("SIP/2.0/TCP {listen};branch=z9hG4bK{id}bye");
-                let party = format!("<sip:petreldock@{listen}>;tag={:x}", self.front.id.0 + 1);
-                sip::request(
-                    &mut self.output,
-                    "BYE",
-                    "sip:caller@net",
-                    &[
-                        ("Via", &via),
-                        ("Max-Forwards", "70"),
-                        ("From", &party),
-                        ("To", "<sip:caller@net>"),
-                        ("Call-ID", &id),
-                        ("CSeq", "1 BYE"),
-                        ("Reason", &reason),
-                    ],
-                );
-                let end = self.written + self.output.len() as u64;
-                self.unheard.push_back(Unheard { since: Instant::now(), end, call, cause });
+                self.release(Release::new(call, cause));
             }
             // SIP callers' media goes past the session controller.
             ToFront::Media(..) => {}
         }
     }
 
+    /// Ends a call that stands towards the caller, and tracks that until it is confirmed.
+    fn release(&mut self, release: Release) {
+        self.used = Instant::now();
+        let listen = self.front.listen;
+        let (id, reason) = (format!("{:016x}", release.call.0), format!("Q.850;cause={}", release.cause.0));
+        let via = format!("SIP/2.0/TCP {listen};branch=z9hG4bK{id}bye");
+        let party = format!("<sip:petreldock@{listen}>;tag={:x}", self.front.id.0 + 1);
+        sip::request(
+            &mut self.output,
+            "BYE",
+            "sip:caller@net",
+            &[
+                ("Via", &via),
+                ("Max-Forwards", "70"),
+                ("From", &party),
+                ("To", "<sip:caller@net>"),
+                ("Call-ID", &id),
+                ("CSeq", "1 BYE"),
+                ("Reason", &reason),
+            ],
+        );
+        let end = self.written + self.output.len() as u64;
+        self.releases.queued(self.used, release, end);
+    }
+
     fn respond(
         &mut self,
         status: (u16, &str),
