Rename net/front to net/sip_server, and its Desk to a plain Config

The module is the SIP server side; 'front', 'desk' are this project's own words. Nothing else changes; the log's texts stay.

--- a/src/main.rs
+++ b/src/main.rs
@@ -11,7 +11,7 @@
 use petreldock::interface::{Micros, Phase};
 use petreldock::net::doors::Doors;
 use petreldock::net::owed::Owed;
-use petreldock::net::{feed, front, hub};
+use petreldock::net::{feed, hub, sip_server};
 use petreldock::{state, telemetry};
 use std::io;
 use std::net::SocketAddr;
@@ -169,7 +169,7 @@
     let (change_log, addresses) = watch::channel(config.change_log);
     tokio::spawn(feed::run(addresses, seq, config.seed, clock, inputs.clone()));
     tokio::spawn(reload(hangup, change_log));
-    let desk = front::Desk {
+    let sip_config = sip_server::Config {
         id: FrontId(0),
         sockets: config.limits.sockets,
         clock,
@@ -177,7 +177,7 @@
         status: watched.clone(),
         owed: owed.clone(),
     };
-    let serving = front::run(desk, listener, to_front);
+    let serving = sip_server::run(sip_config, listener, to_front);
     let ending = Ending::before_kill(config.settings.classes.iter().map(|c| c.deadline).max());
     tracing::info!(name = config.name, "serving at {}", config.listen);
     let stop = async {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,11 +5,11 @@
 pub mod dial;
 pub mod doors;
 pub mod feed;
-pub mod front;
 pub mod http;
 pub mod hub;
 pub mod owed;
 pub mod sip;
+pub mod sip_server;
 
 /// The form of the descriptions that SIP callers and table hubs exchange.
 pub const SDP: &str = "application/sdp";
--- a/src/net/front.rs
+++ b/src/net/sip_server/mod.rs
@@ -1,14 +1,14 @@
-//! The SIP front: callers' connections, and what goes back to them.
+//! The SIP server side: callers' connections, and what goes back to them.
 
 mod release_tracker;
 
 use self::release_tracker::{Release, ReleaseTracker};
-use super::buffer::{Buffer, MESSAGE_MOST};
-use super::owed::{Debt, Owed};
-use super::sip::{self, Malformed, Message, Start};
-use super::SDP;
 use crate::core::{CallName, Cause, Clock, Description, FrontId, Input, Offer, Origin, Status, ToFront};
 use crate::interface::Micros;
+use crate::net::buffer::{Buffer, MESSAGE_MOST};
+use crate::net::owed::{Debt, Owed};
+use crate::net::sip::{self, Malformed, Message, Start};
+use crate::net::SDP;
 use bytes::Bytes;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
@@ -171,7 +171,7 @@
 enum End {
     /// Its caller did, or there is nothing on it that could be lost.
     Gone,
-    /// The front does, after a last word.
+    /// The server does, after a last word.
     Ours,
 }
 
@@ -182,8 +182,8 @@
     Ended,
 }
 
-/// What the front's tasks share.
-struct Front {
+/// What the server's tasks share.
+struct Server {
     id: FrontId,
     listen: SocketAddr,
     clock: Clock,
@@ -194,14 +194,14 @@
     connections_most: usize,
 }
 
-impl Front {
+impl Server {
     fn board(&self) -> MutexGuard<'_, Board> {
         self.board.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-/// What a front is given to work with.
-pub struct Desk {
+/// What a SIP server is given to work with.
+pub struct Config {
     /// Which of the core's fronts it is.
     pub id: FrontId,
     /// Descriptors that the process may hold.
@@ -217,14 +217,18 @@
 }
 
 /// Serves callers for ever.
-pub async fn run(desk: Desk, listener: TcpListener, mut answers: mpsc::Receiver<ToFront>) -> io::Result<()> {
+pub async fn run(
+    config: Config,
+    listener: TcpListener,
+    mut answers: mpsc::Receiver<ToFront>,
+) -> io::Result<()> {
     let listen = listener.local_addr()?;
-    let Desk { id, sockets, clock, core, status, owed } = desk;
+    let Config { id, sockets, clock, core, status, owed } = config;
     // Callers hold a third of the descriptors; more are let in as long as the rest is not needed.
     let connections_most = sockets / 2;
     let board = Mutex::default();
-    let front = Arc::new(Front { id, listen, clock, core, status, board, owed, connections_most });
-    let deliverer = front.clone();
+    let server = Arc::new(Server { id, listen, clock, core, status, board, owed, connections_most });
+    let deliverer = server.clone();
     tokio::spawn(async move {
         while let Some(message) = answers.recv().await {
             let back = deliverer.board().route(message);
@@ -238,24 +242,24 @@
         // Danger: a connection that is accepted and dropped loses the request that is on it. Over the
         // bound, new ones wait in the listener's queue until idle ones have made room.
         let count = {
-            let board = front.board();
+            let board = server.board();
             board.connections.len() + board.lingering
         };
-        if count >= front.connections_most {
-            front.board().shed(SHED);
+        if count >= server.connections_most {
+            server.board().shed(SHED);
             tokio::time::sleep(SHORT).await;
             continue;
         }
         // Before it comes to that, room is made one for one: nobody has to wait.
-        if count >= front.connections_most / 4 * 3 {
-            front.board().shed(1);
+        if count >= server.connections_most / 4 * 3 {
+            server.board().shed(1);
         }
         match listener.accept().await {
             Ok((stream, _)) => {
                 let _ = stream.set_nodelay(true);
                 let (sender, commands) = mpsc::channel(COMMANDS);
                 let number = {
-                    let mut board = front.board();
+                    let mut board = server.board();
                     board.last += 1;
                     let number = board.last;
                     board.connections.insert(number, Known::new(sender));
@@ -264,12 +268,12 @@
                     }
                     number
                 };
-                tokio::spawn(serve(front.clone(), number, stream, commands));
+                tokio::spawn(serve(server.clone(), number, stream, commands));
             }
             // Danger: with no descriptor left, accept fails at once and would take the whole core.
             Err(error) => {
                 tracing::warn!("front: cannot accept: {error}");
-                front.board().shed(SHED);
+                server.board().shed(SHED);
                 tokio::time::sleep(SHORT).await;
             }
         }
@@ -282,7 +286,7 @@
 }
 
 struct Connection {
-    front: Arc<Front>,
+    server: Arc<Server>,
     number: u64,
     input: Buffer,
     output: Vec<u8>,
@@ -308,13 +312,13 @@
 }
 
 async fn serve(
-    front: Arc<Front>,
+    server: Arc<Server>,
     number: u64,
     stream: TcpStream,
     mut commands: mpsc::Receiver<ToConnection>,
 ) {
     let mut connection = Connection {
-        front: front.clone(),
+        server: server.clone(),
         number,
         input: Buffer::default(),
         output: Vec::new(),
@@ -328,12 +332,12 @@
         half_since: Some(Instant::now()),
         used: Instant::now(),
         ending: false,
-        debt: front.owed.debt(),
+        debt: server.owed.debt(),
     };
     let end = connection.run(&stream, &mut commands).await;
     let lingers = matches!(end, End::Ours);
     {
-        let mut board = front.board();
+        let mut board = server.board();
         board.connections.remove(&number);
         board.lingering += usize::from(lingers);
     }
@@ -342,24 +346,24 @@
     let mut calls: Vec<CallName> = open.into_keys().collect();
     calls.sort();
     for call in calls {
-        let _ = front.core.send(Input::Withdrawn(front.id, Origin(number), call)).await;
+        let _ = server.core.send(Input::Withdrawn(server.id, Origin(number), call)).await;
     }
     // Danger: an answer of which the caller never got the last byte is none, and its hub holds the call.
     for (_, call) in answers.into_iter().filter(|(end, _)| *end > written) {
-        let _ = front.core.send(Input::Hangup(front.id, call, Cause::NORMAL)).await;
+        let _ = server.core.send(Input::Hangup(server.id, call, Cause::NORMAL)).await;
     }
     for release in releases.end(Instant::now()) {
-        front.board().release(release);
+        server.board().release(release);
     }
     while let Ok(command) = commands.try_recv() {
         match command {
             ToConnection::Core(ToFront::Answer(_, call, _)) => {
-                let _ = front.core.send(Input::Hangup(front.id, call, Cause::NORMAL)).await;
+                let _ = server.core.send(Input::Hangup(server.id, call, Cause::NORMAL)).await;
             }
             ToConnection::Core(release @ ToFront::Release(..)) => {
-                front.board().route(release);
+                server.board().route(release);
             }
-            ToConnection::Release(release) => front.board().release(release),
+            ToConnection::Release(release) => server.board().release(release),
             _ => {}
         }
     }
@@ -367,7 +371,7 @@
     debt.set(usize::from(lingers));
     if lingers {
         let _ = timeout(LINGER, linger(stream, &mut input)).await;
-        front.board().lingering -= 1;
+        server.board().lingering -= 1;
     }
 }
 
@@ -475,9 +479,9 @@
         }
     }
 
-    /// Shows the front's other tasks how the connection is.
+    /// Shows the server's other tasks how the connection is.
     fn show(&self, busy: bool, carries: bool) {
-        if let Some(known) = self.front.board().connections.get_mut(&self.number) {
+        if let Some(known) = self.server.board().connections.get_mut(&self.number) {
             (known.used, known.busy, known.carries) = (self.used, busy, carries);
             known.heard = self.heard.filter(|_| self.spoke);
             known.is_silent = self.releases.is_silent();
@@ -488,7 +492,7 @@
 
     /// Sends the releases that this connection's caller seems not to hear on other connections.
     fn repeat_overdue(&mut self) {
-        let mut board = self.front.board();
+        let mut board = self.server.board();
         self.releases.check(Instant::now(), |release| board.repeat(release));
     }
 
@@ -507,7 +511,7 @@
                     self.used = Instant::now();
                     self.heard = Some(self.used);
                     self.releases.read(self.used);
-                    self.take_in(self.front.clock.now(), &mut inputs);
+                    self.take_in(self.server.clock.now(), &mut inputs);
                     if self.ending {
                         break;
                     }
@@ -531,7 +535,7 @@
         // Before anything waits: the program may be about to end, and looks at what is owed.
         self.debt.set(self.owes());
         for input in inputs {
-            let _ = self.front.core.send(input).await;
+            let _ = self.server.core.send(input).await;
         }
         look
     }
@@ -542,8 +546,8 @@
         open.sort_by_key(|(call, _)| *call);
         for (call, open) in open {
             self.respond((500, "Server Internal Error"), &open.headers, &[], &[]);
-            let withdrawn = Input::Withdrawn(self.front.id, Origin(self.number), call);
-            let _ = self.front.core.send(withdrawn).await;
+            let withdrawn = Input::Withdrawn(self.server.id, Origin(self.number), call);
+            let _ = self.server.core.send(withdrawn).await;
         }
         self.ending = true;
         self.used = Instant::now();
@@ -588,13 +592,13 @@
             }
             return;
         };
-        let (id, origin) = (self.front.id, Origin(self.number));
+        let (id, origin) = (self.server.id, Origin(self.number));
         let headers = message.repeated();
         let call = call_name(message);
         match (method, call) {
             ("ACK", _) => {}
             ("OPTIONS", _) => {
-                let status = *self.front.status.borrow();
+                let status = *self.server.status.borrow();
                 match status.settled && !status.stopping {
                     true => self.respond((200, "OK"), &headers, &[], &[]),
                     false => self.respond((503, "Service Unavailable"), &headers, &[], &[]),
@@ -654,7 +658,7 @@
             parts.find(|(k, _)| k.trim() == name).map(|(_, v)| v.trim())
         };
         Ok(Offer {
-            front: self.front.id,
+            front: self.server.id,
             origin: Origin(self.number),
             call,
             class: message.header("Call-Kind").unwrap_or("").into(),
@@ -673,7 +677,7 @@
             ToFront::Answer(_, call, description) => match self.open.remove(&call) {
                 Some(open) => {
                     self.carried += 1;
-                    let contact = format!("<sip:petreldock@{}>", self.front.listen);
+                    let contact = format!("<sip:petreldock@{}>", self.server.listen);
                     let more = [("Contact", &*contact), ("Content-Type", SDP)];
                     // A hub of another protocol describes nothing that a SIP caller could use.
                     match description.form == SDP {
@@ -685,7 +689,7 @@
                 // Danger: the caller gave its set-up up while the answer was under way to it. Nobody
                 // has the call: it is released at the hub, and no second answer goes out.
                 None => {
-                    let _ = self.front.core.send(Input::Hangup(self.front.id, call, Cause::NORMAL)).await;
+                    let _ = self.server.core.send(Input::Hangup(self.server.id, call, Cause::NORMAL)).await;
                 }
             },
             ToFront::Refuse(_, call, away) => {
@@ -713,10 +717,10 @@
     /// Ends a call that stands towards the caller, and tracks that until it is confirmed.
     fn release(&mut self, release: Release) {
         self.used = Instant::now();
-        let listen = self.front.listen;
+        let listen = self.server.listen;
         let (id, reason) = (format!("{:016x}", release.call.0), format!("Q.850;cause={}", release.cause.0));
         let via = format!("SIP/2.0/TCP {listen};branch=z9hG4bK{id}bye");
-        let party = format!("<sip:petreldock@{listen}>;tag={:x}", self.front.id.0 + 1);
+        let party = format!("<sip:petreldock@{listen}>;tag={:x}", self.server.id.0 + 1);
         sip::request(
             &mut self.output,
             "BYE",
--- a/tests/front/desk.rs
+++ b/tests/front/server.rs
@@ -1,9 +1,9 @@
-//! The SIP front inside the test's own process, with the test as its core.
+//! The SIP server inside the test's own process, with the test as its core.
 #![allow(dead_code)]
 
 use petreldock::core::*;
-use petreldock::net::front;
 use petreldock::net::owed::Owed;
+use petreldock::net::sip_server;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
@@ -14,8 +14,8 @@
 /// Generous, so that a slow machine gives the same verdict.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
-/// A front of its own with this test as its core.
-pub struct Desk {
+/// A SIP server with this test as its core.
+pub struct TestServer {
     pub address: SocketAddr,
     pub inputs: mpsc::Receiver<Input>,
     pub answers: mpsc::Sender<ToFront>,
@@ -23,20 +23,6 @@
     _status: watch::Sender<Status>,
 }
 
-/// Starts one at a free port.
-pub async fn desk() -> Desk {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    let address = listener.local_addr().expect("an address");
-    let (core, inputs) = mpsc::channel(QUEUE);
-    let (answers, to_front) = mpsc::channel(ANSWERS);
-    let (sender, status) = watch::channel(Status { settled: true, ..Status::default() });
-    let owed = Owed::default();
-    let (id, sockets, clock) = (FrontId(0), 1024, Clock::system());
-    let desk = front::Desk { id, sockets, clock, core, status, owed: owed.clone() };
-    tokio::spawn(front::run(desk, listener, to_front));
-    Desk { address, inputs, answers, owed, _status: sender }
-}
-
 /// A request as callers write it.
 pub fn message(method: &str, call: u64) -> String {
     format!(
@@ -45,8 +31,22 @@
     )
 }
 
-impl Desk {
-    /// A caller whose connection the front has taken in, as its answer to a test shows.
+impl TestServer {
+    /// Starts one at a free port.
+    pub async fn start() -> TestServer {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let (core, inputs) = mpsc::channel(QUEUE);
+        let (answers, to_front) = mpsc::channel(ANSWERS);
+        let (sender, status) = watch::channel(Status { settled: true, ..Status::default() });
+        let owed = Owed::default();
+        let (id, sockets, clock) = (FrontId(0), 1024, Clock::system());
+        let config = sip_server::Config { id, sockets, clock, core, status, owed: owed.clone() };
+        tokio::spawn(sip_server::run(config, listener, to_front));
+        TestServer { address, inputs, answers, owed, _status: sender }
+    }
+
+    /// A caller whose connection the server has taken in, as its answer to a test shows.
     pub async fn caller(&self, silent: bool) -> TcpStream {
         let mut stream = TcpStream::connect(self.address).expect("it listens");
         stream.set_nonblocking(true).expect("set");
@@ -60,7 +60,7 @@
         stream
     }
 
-    /// The next set-up that the front hands to its core.
+    /// The next set-up that the server hands to its core.
     pub async fn offer(&mut self) -> Offer {
         match timeout(PATIENCE, self.inputs.recv()).await.expect("in time") {
             Some(Input::Offer(offer)) => offer,
--- a/tests/silent_callers.rs
+++ b/tests/silent_callers.rs
@@ -1,21 +1,21 @@
 //! Callers whose connections stay open and say nothing more (a machine that vanished, a network that was cut):
 //! what they swallow of our releases has to come on another connection, within 1 s of the hub's release.
 
-#[path = "front/desk.rs"]
-mod desk;
 #[path = "common/peers.rs"]
 mod peers;
 #[path = "common/script.rs"]
 mod script;
+#[path = "front/server.rs"]
+mod server;
 #[path = "common/site.rs"]
 mod site;
 
 use bytes::Bytes;
-use desk::{desk, message, Desk};
 use petreldock::core::{CallName, Cause, Description, Origin, ToFront};
 use petreldock::net::binary::{code, kind};
 use petreldock::net::sip::{self, Start};
 use petreldock::net::SDP;
+use server::{message, TestServer};
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
@@ -40,9 +40,9 @@
 }
 
 impl Peer {
-    /// One that the front has taken in and has heard from.
-    async fn connect(desk: &Desk) -> Peer {
-        let stream = desk.caller(false).await;
+    /// One that the server has taken in and has heard from.
+    async fn connect(server: &TestServer) -> Peer {
+        let stream = server.caller(false).await;
         Peer { stream, input: Vec::new(), answers: true, byes: Vec::new(), responses: 0 }
     }
 
@@ -94,7 +94,7 @@
 
     /// Reads till so many BYEs have come.
     async fn read_byes(&mut self, count: usize) {
-        let end = Instant::now() + desk::PATIENCE;
+        let end = Instant::now() + server::PATIENCE;
         while self.byes.len() < count {
             assert!(Instant::now() < end, "{} of {count} BYEs came", self.byes.len());
             self.take_in();
@@ -107,7 +107,7 @@
     }
 }
 
-impl Desk {
+impl TestServer {
     /// Has a call answered on a connection, with a description so long; the caller need not read it.
     async fn stand(&mut self, peer: &mut Peer, call: u64, length: usize) -> Origin {
         peer.say(&message("INVITE", call));
@@ -126,7 +126,7 @@
         now
     }
 
-    /// Lets the front do what it has to.
+    /// Lets the server do what it has to.
     async fn settle(&self) {
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
@@ -141,15 +141,15 @@
 #[tokio::test]
 async fn a_release_that_a_silent_connection_swallows_comes_on_another_within_a_second() {
     for silent_is_used_last in [false, true] {
-        let mut desk = desk().await;
-        let mut silent = Peer::connect(&desk).await;
-        let mut other = Peer::connect(&desk).await;
-        let origin = desk.stand(&mut silent, 1, 0).await;
+        let mut server = TestServer::start().await;
+        let mut silent = Peer::connect(&server).await;
+        let mut other = Peer::connect(&server).await;
+        let origin = server.stand(&mut silent, 1, 0).await;
         if !silent_is_used_last {
             other.say(&message("OPTIONS", 0));
-            desk.settle().await;
+            server.settle().await;
         }
-        let released = desk.release(origin, 1).await;
+        let released = server.release(origin, 1).await;
         other.read_byes(1).await;
         assert_in_time(released, other.byes[0].1);
         other.read_for(SETTLED).await;
@@ -161,20 +161,20 @@
 
 #[tokio::test]
 async fn of_several_silent_connections_and_one_that_lives_the_living_one_gets_the_release() {
-    let mut desk = desk().await;
-    let mut living = Peer::connect(&desk).await;
+    let mut server = TestServer::start().await;
+    let mut living = Peer::connect(&server).await;
     let mut silent = Vec::new();
     for call in 1..=4 {
-        let mut peer = Peer::connect(&desk).await;
-        let origin = desk.stand(&mut peer, call, 0).await;
+        let mut peer = Peer::connect(&server).await;
+        let origin = server.stand(&mut peer, call, 0).await;
         silent.push((peer, origin));
     }
-    desk.settle().await;
+    server.settle().await;
     living.say(&message("OPTIONS", 0));
-    desk.settle().await;
+    server.settle().await;
     let mut released = Vec::new();
     for (call, (_, origin)) in (1..).zip(&silent) {
-        released.push(desk.release(*origin, call).await);
+        released.push(server.release(*origin, call).await);
     }
     living.read_byes(4).await;
     for (call, came) in &living.byes {
@@ -188,14 +188,14 @@
 
 #[tokio::test]
 async fn a_connection_that_was_only_written_to_is_not_taken_for_one_that_lives() {
-    let mut desk = desk().await;
-    let (mut first, mut second) = (Peer::connect(&desk).await, Peer::connect(&desk).await);
-    let origins = [desk.stand(&mut first, 1, 0).await, desk.stand(&mut second, 2, 0).await];
-    let mut living = Peer::connect(&desk).await;
-    let released = desk.release(origins[0], 1).await;
+    let mut server = TestServer::start().await;
+    let (mut first, mut second) = (Peer::connect(&server).await, Peer::connect(&server).await);
+    let origins = [server.stand(&mut first, 1, 0).await, server.stand(&mut second, 2, 0).await];
+    let mut living = Peer::connect(&server).await;
+    let released = server.release(origins[0], 1).await;
     tokio::time::sleep(Duration::from_millis(100)).await;
     // Now it is the one used last, though nothing was heard from it.
-    desk.release(origins[1], 2).await;
+    server.release(origins[1], 2).await;
     living.read_byes(2).await;
     assert_eq!(living.bye_calls(), [1, 2]);
     assert_in_time(released, living.byes[0].1);
@@ -205,13 +205,13 @@
 
 #[tokio::test]
 async fn where_the_repeat_is_swallowed_too_a_third_connection_gets_it() {
-    let mut desk = desk().await;
-    let mut living = Peer::connect(&desk).await;
+    let mut server = TestServer::start().await;
+    let mut living = Peer::connect(&server).await;
     // Heard from later than the living one, so that it is chosen first.
-    let mut second = Peer::connect(&desk).await;
-    let mut first = Peer::connect(&desk).await;
-    let origin = desk.stand(&mut first, 1, 0).await;
-    let released = desk.release(origin, 1).await;
+    let mut second = Peer::connect(&server).await;
+    let mut first = Peer::connect(&server).await;
+    let origin = server.stand(&mut first, 1, 0).await;
+    let released = server.release(origin, 1).await;
     living.read_byes(1).await;
     assert_in_time(released, living.byes[0].1);
     living.read_for(SETTLED).await;
@@ -223,13 +223,13 @@
 #[tokio::test]
 async fn a_release_waits_for_the_next_connection_where_no_other_is_open() {
     for later in [300, 2_000] {
-        let mut desk = desk().await;
-        let mut silent = Peer::connect(&desk).await;
-        let origin = desk.stand(&mut silent, 1, 0).await;
-        let released = desk.release(origin, 1).await;
+        let mut server = TestServer::start().await;
+        let mut silent = Peer::connect(&server).await;
+        let origin = server.stand(&mut silent, 1, 0).await;
+        let released = server.release(origin, 1).await;
         tokio::time::sleep(Duration::from_millis(later)).await;
         let opened = Instant::now();
-        let mut next = Peer::connect(&desk).await;
+        let mut next = Peer::connect(&server).await;
         next.read_byes(1).await;
         let by = if later < 1_000 { released } else { opened };
         assert_in_time(by, next.byes[0].1);
@@ -240,22 +240,22 @@
 
 #[tokio::test]
 async fn a_200_that_comes_after_the_repeat_does_no_harm() {
-    let mut desk = desk().await;
-    let mut slow = Peer::connect(&desk).await;
-    let mut other = Peer::connect(&desk).await;
-    let origin = desk.stand(&mut slow, 1, 0).await;
-    desk.stand(&mut slow, 2, 0).await;
-    desk.release(origin, 1).await;
+    let mut server = TestServer::start().await;
+    let mut slow = Peer::connect(&server).await;
+    let mut other = Peer::connect(&server).await;
+    let origin = server.stand(&mut slow, 1, 0).await;
+    server.stand(&mut slow, 2, 0).await;
+    server.release(origin, 1).await;
     other.read_byes(1).await;
     slow.read_for(SETTLED).await;
     assert_eq!(slow.bye_calls(), [1], "it reads and answers at last");
     other.take_in();
     assert_eq!(other.bye_calls(), [1]);
     // It is used as before: what stands on it is released on it, and it takes new calls.
-    desk.release(origin, 2).await;
+    server.release(origin, 2).await;
     slow.read_for(SETTLED).await;
-    desk.stand(&mut slow, 3, 0).await;
-    desk.release(origin, 3).await;
+    server.stand(&mut slow, 3, 0).await;
+    server.release(origin, 3).await;
     slow.read_for(SETTLED).await;
     other.take_in();
     assert_eq!((slow.bye_calls(), other.bye_calls()), (vec![1, 2, 3], vec![1]));
@@ -264,21 +264,21 @@
 #[tokio::test]
 async fn a_release_that_does_not_fit_into_a_full_connection_comes_on_another() {
     const LONG: usize = 12 * 1024;
-    let mut desk = desk().await;
-    let mut full = Peer::connect(&desk).await;
-    let mut other = Peer::connect(&desk).await;
+    let mut server = TestServer::start().await;
+    let mut full = Peer::connect(&server).await;
+    let mut other = Peer::connect(&server).await;
     let (mut call, mut origin) = (0, Origin(0));
     // Answers that the caller does not read, till one of them sticks.
-    while desk.owed.count() == 0 {
+    while server.owed.count() == 0 {
         call += 1;
         assert!(call < 5_000, "the sockets take all");
-        origin = desk.stand(&mut full, call, LONG).await;
+        origin = server.stand(&mut full, call, LONG).await;
         let start = Instant::now();
-        while desk.owed.count() > 0 && start.elapsed() < Duration::from_millis(100) {
+        while server.owed.count() > 0 && start.elapsed() < Duration::from_millis(100) {
             tokio::time::sleep(MILLI).await;
         }
     }
-    let released = desk.release(origin, call).await;
+    let released = server.release(origin, call).await;
     other.read_byes(1).await;
     assert_in_time(released, other.byes[0].1);
     other.read_for(SETTLED).await;
@@ -288,18 +288,18 @@
 #[tokio::test]
 async fn all_calls_of_a_silent_connection_are_released_on_one_that_lives() {
     const CALLS: u64 = 1_000;
-    let mut desk = desk().await;
-    let mut silent = Peer::connect(&desk).await;
-    let mut living = Peer::connect(&desk).await;
+    let mut server = TestServer::start().await;
+    let mut silent = Peer::connect(&server).await;
+    let mut living = Peer::connect(&server).await;
     let mut origin = Origin(0);
     for call in 1..=CALLS {
-        origin = desk.stand(&mut silent, call, 0).await;
+        origin = server.stand(&mut silent, call, 0).await;
     }
     living.say(&message("OPTIONS", 0));
-    desk.settle().await;
+    server.settle().await;
     let mut released = Instant::now();
     for call in 1..=CALLS {
-        released = desk.release(origin, call).await;
+        released = server.release(origin, call).await;
     }
     living.read_byes(CALLS as usize).await;
     assert_in_time(released, living.byes.last().expect("some").1);
@@ -311,14 +311,14 @@
 
 #[tokio::test]
 async fn a_connection_known_to_be_silent_is_not_waited_for_again() {
-    let mut desk = desk().await;
-    let mut silent = Peer::connect(&desk).await;
-    let mut other = Peer::connect(&desk).await;
-    let origin = desk.stand(&mut silent, 1, 0).await;
-    desk.stand(&mut silent, 2, 0).await;
-    desk.release(origin, 1).await;
+    let mut server = TestServer::start().await;
+    let mut silent = Peer::connect(&server).await;
+    let mut other = Peer::connect(&server).await;
+    let origin = server.stand(&mut silent, 1, 0).await;
+    server.stand(&mut silent, 2, 0).await;
+    server.release(origin, 1).await;
     other.read_byes(1).await;
-    desk.release(origin, 2).await;
+    server.release(origin, 2).await;
     other.read_byes(2).await;
     other.read_for(SETTLED).await;
     assert_eq!(other.bye_calls(), [1, 2]);
@@ -329,13 +329,13 @@
 #[tokio::test]
 async fn a_caller_that_answers_its_release_gets_no_other_also_when_the_answer_is_late() {
     for late in [0, 100] {
-        let mut desk = desk().await;
-        let mut healthy = Peer::connect(&desk).await;
-        let mut other = Peer::connect(&desk).await;
+        let mut server = TestServer::start().await;
+        let mut healthy = Peer::connect(&server).await;
+        let mut other = Peer::connect(&server).await;
         healthy.answers = false;
-        let origin = desk.stand(&mut healthy, 1, 0).await;
+        let origin = server.stand(&mut healthy, 1, 0).await;
         other.say(&message("OPTIONS", 0));
-        desk.release(origin, 1).await;
+        server.release(origin, 1).await;
         healthy.read_byes(1).await;
         tokio::time::sleep(Duration::from_millis(late)).await;
         healthy.answer_bye(1);
@@ -347,13 +347,13 @@
 
 #[tokio::test]
 async fn a_caller_that_answers_no_release_and_goes_on_speaking_is_not_silent() {
-    let mut desk = desk().await;
-    let mut talkative = Peer::connect(&desk).await;
-    let mut other = Peer::connect(&desk).await;
+    let mut server = TestServer::start().await;
+    let mut talkative = Peer::connect(&server).await;
+    let mut other = Peer::connect(&server).await;
     talkative.answers = false;
-    let origin = desk.stand(&mut talkative, 1, 0).await;
+    let origin = server.stand(&mut talkative, 1, 0).await;
     other.say(&message("OPTIONS", 0));
-    desk.release(origin, 1).await;
+    server.release(origin, 1).await;
     for _ in 0..30 {
         talkative.say(&message("OPTIONS", 0));
         talkative.read_for(Duration::from_millis(50)).await;
@@ -366,16 +366,16 @@
 async fn a_200_that_waits_in_the_socket_of_a_starved_process_is_read_before_it_is_missed() {
     // Which of a timer and a socket is seen first is left to chance: one connection proves little.
     const CALLERS: u64 = 24;
-    let mut desk = desk().await;
+    let mut server = TestServer::start().await;
     let mut callers = Vec::new();
     for call in 1..=CALLERS {
-        let mut peer = Peer::connect(&desk).await;
+        let mut peer = Peer::connect(&server).await;
         peer.answers = false;
-        let origin = desk.stand(&mut peer, call, 0).await;
+        let origin = server.stand(&mut peer, call, 0).await;
         callers.push((call, peer, origin));
     }
     for (call, _, origin) in &callers {
-        desk.release(*origin, *call).await;
+        server.release(*origin, *call).await;
     }
     for (call, peer, _) in &mut callers {
         peer.read_byes(1).await;
@@ -392,11 +392,11 @@
 
 #[tokio::test]
 async fn a_silent_connection_that_ends_after_its_release_was_repeated_causes_no_third() {
-    let mut desk = desk().await;
-    let mut silent = Peer::connect(&desk).await;
-    let mut other = Peer::connect(&desk).await;
-    let origin = desk.stand(&mut silent, 1, 0).await;
-    desk.release(origin, 1).await;
+    let mut server = TestServer::start().await;
+    let mut silent = Peer::connect(&server).await;
+    let mut other = Peer::connect(&server).await;
+    let origin = server.stand(&mut silent, 1, 0).await;
+    server.release(origin, 1).await;
     other.read_byes(1).await;
     drop(silent);
     other.read_for(SETTLED).await;
