Move the table of callers' connections to sip_server/registry

Board becomes ConnectionRegistry and Known its Entry; entering, removing and counting connections become methods of it. No behaviour changes.

--- a/src/net/sip_server/mod.rs
+++ b/src/net/sip_server/mod.rs
@@ -1,7 +1,9 @@
 //! The SIP server side: callers' connections, and what goes back to them.
 
+mod registry;
 mod release_tracker;
 
+use self::registry::{Command, ConnectionRegistry};
 use self::release_tracker::{Release, ReleaseTracker};
 use crate::core::{CallName, Cause, Clock, Description, FrontId, Input, Offer, Origin, Status, ToFront};
 use crate::interface::Micros;
@@ -10,8 +12,7 @@
 use crate::net::sip::{self, Malformed, Message, Start};
 use crate::net::SDP;
 use bytes::Bytes;
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
+use std::collections::{HashMap, VecDeque};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -20,14 +21,12 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{timeout, Duration, Instant};
 
-/// Messages that may wait for one connection: an answer to each of its set-ups, and as many releases.
-const COMMANDS: usize = 2 * OPEN_MOST;
 /// A caller that lets so much pile up does not read: its connection is closed.
 const OUTPUT_MOST: usize = 64 * 1024;
 /// Headers that an answer repeats, kept while a set-up is open: no longer than this together.
 const REPEATED_MOST: usize = 2048;
 /// Set-ups that may be open on one connection.
-const OPEN_MOST: usize = 4096;
+const MAX_OPEN: usize = 4096;
 /// A connection without an open set-up is closed after this if no call that was answered there stands:
 /// callers close theirs after 4 s,
 const IDLE: Duration = Duration::from_secs(5);
@@ -45,128 +44,6 @@
 const FILLS_EACH: usize = 8;
 /// How long to wait before accepting again when descriptors have run out.
 const SHORT: Duration = Duration::from_millis(20);
-/// Releases that may wait for a connection, and how long they do.
-const PARKED_MOST: usize = 8192;
-const PARKED_KEPT: Duration = Duration::from_secs(10);
-
-enum ToConnection {
-    Core(ToFront),
-    /// A call that was not set up on this connection, or whose own connection could not take its release.
-    Release(Release),
-    /// Descriptors are short: end if no set-up is open.
-    CloseIdle,
-}
-
-struct Known {
-    sender: mpsc::Sender<ToConnection>,
-    used: Instant,
-    /// When something was last read from it, once a whole request came.
-    heard: Option<Instant>,
-    /// A release on it is overdue, and nothing has been read since.
-    is_silent: bool,
-    /// It takes no more bytes for now.
-    is_full: bool,
-    /// Set-ups are open on it, or a message is half there: it may not be closed to make room.
-    busy: bool,
-    /// Calls that were answered on it stand.
-    carries: bool,
-    /// It was asked to make room, and has not looked yet.
-    asked: bool,
-}
-
-impl Known {
-    /// A connection that was just accepted.
-    fn new(sender: mpsc::Sender<ToConnection>) -> Known {
-        Known {
-            sender,
-            used: Instant::now(),
-            heard: None,
-            is_silent: false,
-            is_full: false,
-            busy: false,
-            carries: false,
-            asked: false,
-        }
-    }
-}
-
-/// Who is connected, and what waits for a connection.
-#[derive(Default)]
-struct Board {
-    last: u64,
-    connections: BTreeMap<u64, Known>,
-    /// Connections that are shut for writing, and read on for a little while.
-    lingering: usize,
-    parked: VecDeque<(Instant, Release)>,
-}
-
-impl Board {
-    /// Hands a message on; gives back an answer whose connection is gone.
-    fn route(&mut self, message: ToFront) -> Option<ToFront> {
-        let origin = match &message {
-            ToFront::Answer(origin, ..)
-            | ToFront::Refuse(origin, ..)
-            | ToFront::Fail(origin, _)
-            | ToFront::Media(origin, ..) => Some(*origin),
-            ToFront::Release(origin, ..) => *origin,
-        };
-        let own = origin.and_then(|o| self.connections.get(&o.0));
-        // What a silent connection would swallow need not wait there first.
-        let is_release = matches!(message, ToFront::Release(..));
-        let own = own.filter(|known| !is_release || !known.is_silent);
-        let message = match own.map(|k| k.sender.try_send(ToConnection::Core(message.clone()))) {
-            Some(Ok(())) => return None,
-            _ => message,
-        };
-        let ToFront::Release(_, call, cause) = message else { return Some(message) };
-        self.release(Release::new(call, cause));
-        None
-    }
-
-    /// Sends a release on any connection, or else on the next one: no connection owns a call that stands.
-    fn release(&mut self, release: Release) {
-        if self.release_on(&release, |_| true) {
-            return;
-        }
-        self.parked.retain(|(since, ..)| since.elapsed() < PARKED_KEPT);
-        if self.parked.len() < PARKED_MOST {
-            self.parked.push_back((Instant::now(), release));
-        }
-    }
-
-    /// Sends a release that was swallowed on another connection, if there is one that seems to live.
-    fn repeat(&mut self, release: Release) -> bool {
-        self.release_on(&release, |known| !known.is_silent && !known.is_full)
-    }
-
-    /// Sends a release on one of these connections that did not swallow it before: best on one that is not
-    /// silent, and of these on the one heard from last.
-    fn release_on(&self, release: &Release, suits: impl Fn(&Known) -> bool) -> bool {
-        let others = self.connections.iter().filter(|(number, _)| !release.tried.contains(number));
-        let suitable = others.filter(|(_, known)| suits(known));
-        let mut ranked: BinaryHeap<_> =
-            suitable.map(|(number, known)| (Reverse(known.is_silent), known.heard, *number)).collect();
-        while let Some((.., number)) = ranked.pop() {
-            let sent = self.connections[&number].sender.try_send(ToConnection::Release(release.clone()));
-            if sent.is_ok() {
-                return true;
-            }
-        }
-        false
-    }
-
-    /// Asks `count` connections to end on which nothing is open: first those without a call that stands,
-    /// and of these the ones used longest ago.
-    fn shed(&mut self, count: usize) {
-        let mut idle: Vec<&mut Known> =
-            self.connections.values_mut().filter(|k| !k.busy && !k.asked).collect();
-        idle.sort_by_key(|k| (k.carries, k.used));
-        for known in idle.into_iter().take(count) {
-            known.asked = known.sender.try_send(ToConnection::CloseIdle).is_ok();
-        }
-    }
-}
-
 /// Who ends a connection.
 enum End {
     /// Its caller did, or there is nothing on it that could be lost.
@@ -189,14 +66,14 @@
     clock: Clock,
     core: mpsc::Sender<Input>,
     status: watch::Receiver<Status>,
-    board: Mutex<Board>,
+    registry: Mutex<ConnectionRegistry>,
     owed: Owed,
     connections_most: usize,
 }
 
 impl Server {
-    fn board(&self) -> MutexGuard<'_, Board> {
-        self.board.lock().unwrap_or_else(PoisonError::into_inner)
+    fn registry(&self) -> MutexGuard<'_, ConnectionRegistry> {
+        self.registry.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -226,12 +103,12 @@
     let Config { id, sockets, clock, core, status, owed } = config;
     // Callers hold a third of the descriptors; more are let in as long as the rest is not needed.
     let connections_most = sockets / 2;
-    let board = Mutex::default();
-    let server = Arc::new(Server { id, listen, clock, core, status, board, owed, connections_most });
+    let registry = Mutex::default();
+    let server = Arc::new(Server { id, listen, clock, core, status, registry, owed, connections_most });
     let deliverer = server.clone();
     tokio::spawn(async move {
         while let Some(message) = answers.recv().await {
-            let back = deliverer.board().route(message);
+            let back = deliverer.registry().route(message);
             // The caller's connection ended as its answer came: nobody has the call.
             if let Some(ToFront::Answer(_, call, _)) = back {
                 let _ = deliverer.core.send(Input::Hangup(deliverer.id, call, Cause::NORMAL)).await;
@@ -241,39 +118,26 @@
     loop {
         // Danger: a connection that is accepted and dropped loses the request that is on it. Over the
         // bound, new ones wait in the listener's queue until idle ones have made room.
-        let count = {
-            let board = server.board();
-            board.connections.len() + board.lingering
-        };
+        let count = server.registry().count();
         if count >= server.connections_most {
-            server.board().shed(SHED);
+            server.registry().shed(SHED);
             tokio::time::sleep(SHORT).await;
             continue;
         }
         // Before it comes to that, room is made one for one: nobody has to wait.
         if count >= server.connections_most / 4 * 3 {
-            server.board().shed(1);
+            server.registry().shed(1);
         }
         match listener.accept().await {
             Ok((stream, _)) => {
                 let _ = stream.set_nodelay(true);
-                let (sender, commands) = mpsc::channel(COMMANDS);
-                let number = {
-                    let mut board = server.board();
-                    board.last += 1;
-                    let number = board.last;
-                    board.connections.insert(number, Known::new(sender));
-                    for (_, release) in std::mem::take(&mut board.parked) {
-                        board.release(release);
-                    }
-                    number
-                };
+                let (number, commands) = server.registry().enter();
                 tokio::spawn(serve(server.clone(), number, stream, commands));
             }
             // Danger: with no descriptor left, accept fails at once and would take the whole core.
             Err(error) => {
                 tracing::warn!("front: cannot accept: {error}");
-                server.board().shed(SHED);
+                server.registry().shed(SHED);
                 tokio::time::sleep(SHORT).await;
             }
         }
@@ -311,12 +175,7 @@
     debt: Debt,
 }
 
-async fn serve(
-    server: Arc<Server>,
-    number: u64,
-    stream: TcpStream,
-    mut commands: mpsc::Receiver<ToConnection>,
-) {
+async fn serve(server: Arc<Server>, number: u64, stream: TcpStream, mut commands: mpsc::Receiver<Command>) {
     let mut connection = Connection {
         server: server.clone(),
         number,
@@ -336,11 +195,7 @@
     };
     let end = connection.run(&stream, &mut commands).await;
     let lingers = matches!(end, End::Ours);
-    {
-        let mut board = server.board();
-        board.connections.remove(&number);
-        board.lingering += usize::from(lingers);
-    }
+    server.registry().remove(number, lingers);
     commands.close();
     let Connection { open, written, answers, releases, mut input, mut debt, .. } = connection;
     let mut calls: Vec<CallName> = open.into_keys().collect();
@@ -353,17 +208,17 @@
         let _ = server.core.send(Input::Hangup(server.id, call, Cause::NORMAL)).await;
     }
     for release in releases.end(Instant::now()) {
-        server.board().release(release);
+        server.registry().release(release);
     }
     while let Ok(command) = commands.try_recv() {
         match command {
-            ToConnection::Core(ToFront::Answer(_, call, _)) => {
+            Command::Core(ToFront::Answer(_, call, _)) => {
                 let _ = server.core.send(Input::Hangup(server.id, call, Cause::NORMAL)).await;
             }
-            ToConnection::Core(release @ ToFront::Release(..)) => {
-                server.board().route(release);
+            Command::Core(release @ ToFront::Release(..)) => {
+                server.registry().route(release);
             }
-            ToConnection::Release(release) => server.board().release(release),
+            Command::Release(release) => server.registry().release(release),
             _ => {}
         }
     }
@@ -371,7 +226,7 @@
     debt.set(usize::from(lingers));
     if lingers {
         let _ = timeout(LINGER, linger(stream, &mut input)).await;
-        server.board().lingering -= 1;
+        server.registry().lingering -= 1;
     }
 }
 
@@ -398,7 +253,7 @@
         self.open.len() + usize::from(!self.output.is_empty()) + usize::from(!self.input.held().is_empty())
     }
 
-    async fn run(&mut self, stream: &TcpStream, commands: &mut mpsc::Receiver<ToConnection>) -> End {
+    async fn run(&mut self, stream: &TcpStream, commands: &mut mpsc::Receiver<Command>) -> End {
         loop {
             // Danger: what came whole ahead of what cannot be read was taken, and would end without a word.
             if self.ending && !self.open.is_empty() {
@@ -441,15 +296,15 @@
                     }
                 }
                 command = commands.recv() => match command {
-                    Some(ToConnection::Core(message)) => self.tell(message).await,
-                    Some(ToConnection::Release(release)) => self.release(release),
+                    Some(Command::Core(message)) => self.tell(message).await,
+                    Some(Command::Release(release)) => self.release(release),
                     // Danger: what came since it was chosen is looked at first; half a request counts.
-                    Some(ToConnection::CloseIdle) if self.owes() == 0 => {
+                    Some(Command::CloseIdle) if self.owes() == 0 => {
                         if !matches!(self.look(stream).await, Look::Taken) {
                             return End::Gone;
                         }
                     }
-                    Some(ToConnection::CloseIdle) => {}
+                    Some(Command::CloseIdle) => {}
                     None => return End::Gone,
                 },
                 _ = tokio::time::sleep_until(idle_at), if !busy => {
@@ -481,19 +336,19 @@
 
     /// Shows the server's other tasks how the connection is.
     fn show(&self, busy: bool, carries: bool) {
-        if let Some(known) = self.server.board().connections.get_mut(&self.number) {
-            (known.used, known.busy, known.carries) = (self.used, busy, carries);
-            known.heard = self.heard.filter(|_| self.spoke);
-            known.is_silent = self.releases.is_silent();
-            known.is_full = !self.output.is_empty();
-            known.asked = false;
+        if let Some(entry) = self.server.registry().entry(self.number) {
+            (entry.used, entry.busy, entry.carries) = (self.used, busy, carries);
+            entry.heard = self.heard.filter(|_| self.spoke);
+            entry.is_silent = self.releases.is_silent();
+            entry.is_full = !self.output.is_empty();
+            entry.asked = false;
         }
     }
 
     /// Sends the releases that this connection's caller seems not to hear on other connections.
     fn repeat_overdue(&mut self) {
-        let mut board = self.server.board();
-        self.releases.check(Instant::now(), |release| board.repeat(release));
+        let mut registry = self.server.registry();
+        self.releases.check(Instant::now(), |release| registry.repeat(release));
     }
 
     /// Takes in what the socket has. Danger: where the processor is short, a time limit and what came long
@@ -612,7 +467,7 @@
             ("INVITE", Some(call)) => match self.offer(message, uri, call, arrived) {
                 // Danger: a second set-up under the id of an open one is refused; the open one's headers,
                 // which its answer repeats, stay.
-                Ok(offer) if self.open.len() < OPEN_MOST && !self.open.contains_key(&call) => {
+                Ok(offer) if self.open.len() < MAX_OPEN && !self.open.contains_key(&call) => {
                     self.open.insert(call, Open { headers });
                     inputs.push(Input::Offer(offer));
                 }
