Split sip_server into accept loop, connection and its messages

connection.rs holds one connection's socket, limits and end, and connection/messages.rs what callers' messages mean and what they are told; mod.rs keeps the configuration and the accept loop. No behaviour changes. Measured: the tests front, ends, program, mixed and silent_callers pass.

--- /dev/null
+++ b/src/net/sip_server/connection.rs
@@ -0,0 +1,354 @@
+//! One connection of callers: its socket, its limits, and what is still owed when it ends.
+
+mod messages;
+
+use super::registry::Command;
+use super::release_tracker::ReleaseTracker;
+use super::Server;
+use crate::core::{CallName, Cause, Input, Origin, ToFront};
+use crate::interface::Micros;
+use crate::net::buffer::{Buffer, MESSAGE_MOST};
+use crate::net::owed::Debt;
+use crate::net::sip::{self, Malformed, Start};
+use std::collections::{HashMap, VecDeque};
+use std::io;
+use std::sync::Arc;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::{timeout, Duration, Instant};
+
+/// A caller that lets so much pile up does not read: its connection is closed.
+const OUTPUT_MOST: usize = 64 * 1024;
+/// A connection without an open set-up is closed after this if no call that was answered there stands:
+/// callers close theirs after 4 s,
+const IDLE: Duration = Duration::from_secs(5);
+/// ... else after this: its releases would have to go elsewhere.
+const IDLE_WITH_CALLS: Duration = Duration::from_secs(30);
+/// A message comes whole within this, the first one counted from the connection's start.
+const WHOLE: Duration = Duration::from_secs(2);
+/// A connection that we end is read on for so long, and for so many bytes, once it is shut for writing. Danger:
+/// a close with unread input resets the connection, and the last answer on it can be lost.
+const LINGER: Duration = Duration::from_millis(300);
+const LINGER_BYTES: usize = 256 * 1024;
+/// One look takes in so much of a connection at most: a flood on one starves no other.
+const FILLS_EACH: usize = 8;
+
+/// Who ends a connection.
+enum End {
+    /// Its caller did, or there is nothing on it that could be lost.
+    Gone,
+    /// The server does, after a last word.
+    Ours,
+}
+
+/// What a look at a connection's socket brought.
+enum Look {
+    Nothing,
+    Taken,
+    Ended,
+}
+
+/// A set-up that is open on a connection.
+struct Open {
+    headers: Vec<(String, String)>,
+}
+
+/// One connection of callers.
+struct Connection {
+    server: Arc<Server>,
+    number: u64,
+    input: Buffer,
+    output: Vec<u8>,
+    open: HashMap<CallName, Open>,
+    /// Bytes written so far.
+    written: u64,
+    /// Answers that stand in the output, with how many bytes will be written once they are.
+    answers: VecDeque<(u64, CallName)>,
+    /// Releases written or to be written, till their 200 comes.
+    releases: ReleaseTracker,
+    /// When something was last read.
+    heard: Option<Instant>,
+    /// Calls answered here that stand, as far as is seen here: their BYE may come on another connection.
+    carried: usize,
+    /// A request came that is owed an answer.
+    spoke: bool,
+    /// Since when a message is awaited that is not whole; at first since the connection's start.
+    half_since: Option<Instant>,
+    used: Instant,
+    /// No more is read; the connection ends once all is written.
+    ending: bool,
+    debt: Debt,
+}
+
+/// Serves one connection to its end.
+pub async fn serve(
+    server: Arc<Server>,
+    number: u64,
+    stream: TcpStream,
+    mut commands: mpsc::Receiver<Command>,
+) {
+    let mut connection = Connection {
+        server: server.clone(),
+        number,
+        input: Buffer::default(),
+        output: Vec::new(),
+        open: HashMap::new(),
+        written: 0,
+        answers: VecDeque::new(),
+        releases: ReleaseTracker::new(number),
+        heard: None,
+        carried: 0,
+        spoke: false,
+        half_since: Some(Instant::now()),
+        used: Instant::now(),
+        ending: false,
+        debt: server.owed.debt(),
+    };
+    let end = connection.run(&stream, &mut commands).await;
+    let lingers = matches!(end, End::Ours);
+    server.registry().remove(number, lingers);
+    commands.close();
+    let Connection { open, written, answers, releases, mut input, mut debt, .. } = connection;
+    let mut calls: Vec<CallName> = open.into_keys().collect();
+    calls.sort();
+    for call in calls {
+        let _ = server.core.send(Input::Withdrawn(server.id, Origin(number), call)).await;
+    }
+    // Danger: an answer of which the caller never got the last byte is none, and its hub holds the call.
+    for (_, call) in answers.into_iter().filter(|(end, _)| *end > written) {
+        let _ = server.core.send(Input::Hangup(server.id, call, Cause::NORMAL)).await;
+    }
+    for release in releases.end(Instant::now()) {
+        server.registry().release(release);
+    }
+    while let Ok(command) = commands.try_recv() {
+        match command {
+            Command::Core(ToFront::Answer(_, call, _)) => {
+                let _ = server.core.send(Input::Hangup(server.id, call, Cause::NORMAL)).await;
+            }
+            Command::Core(release @ ToFront::Release(..)) => {
+                server.registry().route(release);
+            }
+            Command::Release(release) => server.registry().release(release),
+            _ => {}
+        }
+    }
+    // Danger: the program's end would reset it with what is unread, and the last word is not heard yet.
+    debt.set(usize::from(lingers));
+    if lingers {
+        let _ = timeout(LINGER, linger(stream, &mut input)).await;
+        server.registry().lingering -= 1;
+    }
+}
+
+/// Shuts a connection for writing, and reads what still comes, to no effect, till the caller ends it too.
+async fn linger(mut stream: TcpStream, input: &mut Buffer) {
+    let mut left = LINGER_BYTES;
+    if stream.shutdown().await.is_err() {
+        return;
+    }
+    while left > 0 && stream.readable().await.is_ok() {
+        input.consume(input.held().len());
+        match input.fill(&stream) {
+            Ok(0) => return,
+            Ok(count) => left = left.saturating_sub(count),
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            Err(_) => return,
+        }
+    }
+}
+
+impl Connection {
+    /// What it owes its caller.
+    fn owes(&self) -> usize {
+        self.open.len() + usize::from(!self.output.is_empty()) + usize::from(!self.input.held().is_empty())
+    }
+
+    async fn run(&mut self, stream: &TcpStream, commands: &mut mpsc::Receiver<Command>) -> End {
+        loop {
+            // Danger: what came whole ahead of what cannot be read was taken, and would end without a word.
+            if self.ending && !self.open.is_empty() {
+                self.fail_open().await;
+            }
+            let (busy, carries) = (!self.open.is_empty(), self.carried > 0);
+            let half = !self.input.held().is_empty();
+            let idle_at = self.used + if carries { IDLE_WITH_CALLS } else { IDLE };
+            let whole_by = self.half_since.map(|since| since + WHOLE);
+            match stream.try_write(&self.output) {
+                Ok(count) => {
+                    self.output.drain(..count);
+                    self.written += count as u64;
+                    while self.answers.front().is_some_and(|(end, _)| *end <= self.written) {
+                        self.answers.pop_front();
+                    }
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(_) => return End::Gone,
+            }
+            self.releases.wrote(Instant::now(), self.written);
+            self.show(busy || half, carries);
+            self.debt.set(self.owes());
+            if self.output.len() > OUTPUT_MOST {
+                return End::Gone;
+            }
+            if self.ending && self.output.is_empty() {
+                return End::Ours;
+            }
+            let check_at = self.releases.check_at();
+            tokio::select! {
+                readable = stream.readable(), if !self.ending => {
+                    if readable.is_err() || matches!(self.look(stream).await, Look::Ended) {
+                        return End::Gone;
+                    }
+                }
+                writable = stream.writable(), if !self.output.is_empty() => {
+                    if writable.is_err() {
+                        return End::Gone;
+                    }
+                }
+                command = commands.recv() => match command {
+                    Some(Command::Core(message)) => self.tell(message).await,
+                    Some(Command::Release(release)) => self.release(release),
+                    // Danger: what came since it was chosen is looked at first; half a request counts.
+                    Some(Command::CloseIdle) if self.owes() == 0 => {
+                        if !matches!(self.look(stream).await, Look::Taken) {
+                            return End::Gone;
+                        }
+                    }
+                    Some(Command::CloseIdle) => {}
+                    None => return End::Gone,
+                },
+                _ = tokio::time::sleep_until(idle_at), if !busy => {
+                    if self.ending || !matches!(self.look(stream).await, Look::Taken) {
+                        return End::Gone;
+                    }
+                }
+                // Danger: a caller that stays silent, or half-way through a message, holds a descriptor
+                // for ever and is owed a word. What it has open is failed, so that nobody waits for it.
+                _ = tokio::time::sleep_until(whole_by.unwrap_or(idle_at)), if whole_by.is_some() && !self.ending => {
+                    match self.look(stream).await {
+                        Look::Nothing => self.fail_open().await,
+                        Look::Taken => {}
+                        Look::Ended => return End::Gone,
+                    }
+                }
+                // Danger: a 200 that waits in the socket is taken in first.
+                _ = tokio::time::sleep_until(check_at.unwrap_or(idle_at)), if check_at.is_some() => {
+                    if !self.ending && matches!(self.look(stream).await, Look::Ended) {
+                        return End::Gone;
+                    }
+                    self.repeat_overdue();
+                }
+                // It does not read its last words either.
+                _ = tokio::time::sleep_until(self.used + WHOLE), if self.ending => return End::Gone,
+            }
+        }
+    }
+
+    /// Shows the server's other tasks how the connection is.
+    fn show(&self, busy: bool, carries: bool) {
+        if let Some(entry) = self.server.registry().entry(self.number) {
+            (entry.used, entry.busy, entry.carries) = (self.used, busy, carries);
+            entry.heard = self.heard.filter(|_| self.spoke);
+            entry.is_silent = self.releases.is_silent();
+            entry.is_full = !self.output.is_empty();
+            entry.asked = false;
+        }
+    }
+
+    /// Sends the releases that this connection's caller seems not to hear on other connections.
+    fn repeat_overdue(&mut self) {
+        let mut registry = self.server.registry();
+        self.releases.check(Instant::now(), |release| registry.repeat(release));
+    }
+
+    /// Takes in what the socket has. Danger: where the processor is short, a time limit and what came long
+    /// before it are seen at the same moment; a set-up that waits here is taken, and a connection closed for
+    /// its silence would lose it.
+    ///
+    /// Danger: a caller may be gone before what it sent is read, and then nothing is sent on for it: its
+    /// end is looked for before its set-ups are handed on.
+    async fn look(&mut self, stream: &TcpStream) -> Look {
+        let (mut look, mut inputs) = (Look::Nothing, Vec::new());
+        for _ in 0..FILLS_EACH {
+            match self.input.fill(stream) {
+                Ok(count) if count > 0 => {
+                    look = Look::Taken;
+                    self.used = Instant::now();
+                    self.heard = Some(self.used);
+                    self.releases.read(self.used);
+                    self.take_in(self.server.clock.now(), &mut inputs);
+                    if self.ending {
+                        break;
+                    }
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+                Ok(_) => {
+                    // Its end is a sign of life too.
+                    self.releases.read(Instant::now());
+                    look = Look::Ended;
+                    break;
+                }
+                Err(_) => {
+                    look = Look::Ended;
+                    break;
+                }
+            }
+        }
+        if matches!(look, Look::Ended) {
+            inputs.retain(|input| !matches!(input, Input::Offer(o) if self.open.remove(&o.call).is_some()));
+        }
+        // Before anything waits: the program may be about to end, and looks at what is owed.
+        self.debt.set(self.owes());
+        for input in inputs {
+            let _ = self.server.core.send(input).await;
+        }
+        look
+    }
+
+    /// Fails the set-ups that are open here, and ends once that is written.
+    async fn fail_open(&mut self) {
+        let mut open: Vec<(CallName, Open)> = self.open.drain().collect();
+        open.sort_by_key(|(call, _)| *call);
+        for (call, open) in open {
+            self.respond((500, "Server Internal Error"), &open.headers, &[], &[]);
+            let withdrawn = Input::Withdrawn(self.server.id, Origin(self.number), call);
+            let _ = self.server.core.send(withdrawn).await;
+        }
+        self.ending = true;
+        self.used = Instant::now();
+    }
+
+    /// Reads the messages that are there. `arrived`: when their last bytes came.
+    fn take_in(&mut self, arrived: Micros, inputs: &mut Vec<Input>) {
+        let mut input = std::mem::take(&mut self.input);
+        let mut whole = false;
+        while !self.ending {
+            input.consume(sip::empty_lines(input.held()));
+            let bytes = match sip::parse(input.held()) {
+                Ok(Some(message)) => {
+                    whole = true;
+                    self.spoke |= matches!(message.start, Start::Request(method, _) if method != "ACK");
+                    self.message(&message, arrived, inputs);
+                    message.bytes
+                }
+                Ok(None) => break,
+                Err(Malformed::Request { headers, bytes }) => {
+                    self.respond((400, "Bad Request"), &headers, &[], &[]);
+                    self.ending = bytes == 0;
+                    bytes
+                }
+                Err(Malformed::Lost) => {
+                    self.ending = true;
+                    0
+                }
+            };
+            input.consume(bytes);
+        }
+        debug_assert!(self.ending || input.held().len() <= MESSAGE_MOST);
+        let since = self.half_since.filter(|_| !whole || !self.spoke).unwrap_or(self.used);
+        self.half_since = (!input.held().is_empty() || !self.spoke).then_some(since);
+        self.input = input;
+    }
+}
