--- a/src/net/sip_server/connection.rs
+++ b/src/net/sip_server/connection.rs
@@ -19,7 +19,7 @@
 use tokio::time::{timeout, Duration, Instant};
 
 /// A caller that lets so much pile up does not read: its connection is closed.
-const OUTPUT_MOST: usize = 64 * 1024;
+const MAX_OUTPUT: usize = 64 * 1024;
 /// A connection without an open set-up is closed after this if no call that was answered there stands:
 /// callers close theirs after 4 s,
 const IDLE: Duration = Duration::from_secs(5);
@@ -30,9 +30,9 @@
 /// A connection that we end is read on for so long, and for so many bytes, once it is shut for writing. Danger:
 /// a close with unread input resets the connection, and the last answer on it can be lost.
 const LINGER: Duration = Duration::from_millis(300);
-const LINGER_BYTES: usize = 256 * 1024;
+const MAX_LINGER_BYTES: usize = 256 * 1024;
 /// One look takes in so much of a connection at most: a flood on one starves no other.
-const FILLS_EACH: usize = 8;
+const MAX_FILLS: usize = 8;
 
 /// Who ends a connection.
 enum End {
@@ -144,7 +144,7 @@
 
 /// Shuts a connection for writing, and reads what still comes, to no effect, till the caller ends it too.
 async fn linger(mut stream: TcpStream, input: &mut Buffer) {
-    let mut left = LINGER_BYTES;
+    let mut left = MAX_LINGER_BYTES;
     if stream.shutdown().await.is_err() {
         return;
     }
@@ -189,7 +189,7 @@
             self.releases.wrote(Instant::now(), self.written);
             self.show(busy || half, carries);
             self.debt.set(self.owes());
-            if self.output.len() > OUTPUT_MOST {
+            if self.output.len() > MAX_OUTPUT {
                 return End::Gone;
             }
             if self.ending && self.output.is_empty() {
@@ -271,7 +271,7 @@
     /// end is looked for before its set-ups are handed on.
     async fn look(&mut self, stream: &TcpStream) -> Look {
         let (mut look, mut inputs) = (Look::Nothing, Vec::new());
-        for _ in 0..FILLS_EACH {
+        for _ in 0..MAX_FILLS {
             match self.input.fill(stream) {
                 Ok(count) if count > 0 => {
                     look = Look::Taken;
--- a/src/net/sip_server/mod.rs
+++ b/src/net/sip_server/mod.rs
@@ -17,9 +17,9 @@
 /// Set-ups that may be open on one connection.
 const MAX_OPEN: usize = 4096;
 /// So many idle connections make room at a time.
-const SHED: usize = 8;
+const SHED_BATCH: usize = 8;
 /// How long to wait before accepting again when descriptors have run out.
-const SHORT: Duration = Duration::from_millis(20);
+const ACCEPT_RETRY: Duration = Duration::from_millis(20);
 
 /// What the server's tasks share.
 struct Server {
@@ -30,7 +30,7 @@
     status: watch::Receiver<Status>,
     registry: Mutex<ConnectionRegistry>,
     owed: Owed,
-    connections_most: usize,
+    max_connections: usize,
 }
 
 impl Server {
@@ -64,9 +64,9 @@
     let listen = listener.local_addr()?;
     let Config { id, sockets, clock, core, status, owed } = config;
     // Callers hold a third of the descriptors; more are let in as long as the rest is not needed.
-    let connections_most = sockets / 2;
+    let max_connections = sockets / 2;
     let registry = Mutex::default();
-    let server = Arc::new(Server { id, listen, clock, core, status, registry, owed, connections_most });
+    let server = Arc::new(Server { id, listen, clock, core, status, registry, owed, max_connections });
     let deliverer = server.clone();
     tokio::spawn(async move {
         while let Some(message) = answers.recv().await {
@@ -81,13 +81,13 @@
         // Danger: a connection that is accepted and dropped loses the request that is on it. Over the
         // bound, new ones wait in the listener's queue until idle ones have made room.
         let count = server.registry().count();
-        if count >= server.connections_most {
-            server.registry().shed(SHED);
-            tokio::time::sleep(SHORT).await;
+        if count >= server.max_connections {
+            server.registry().shed(SHED_BATCH);
+            tokio::time::sleep(ACCEPT_RETRY).await;
             continue;
         }
         // Before it comes to that, room is made one for one: nobody has to wait.
-        if count >= server.connections_most / 4 * 3 {
+        if count >= server.max_connections / 4 * 3 {
             server.registry().shed(1);
         }
         match listener.accept().await {
@@ -99,8 +99,8 @@
             // Danger: with no descriptor left, accept fails at once and would take the whole core.
             Err(error) => {
                 tracing::warn!("front: cannot accept: {error}");
-                server.registry().shed(SHED);
-                tokio::time::sleep(SHORT).await;
+                server.registry().shed(SHED_BATCH);
+                tokio::time::sleep(ACCEPT_RETRY).await;
             }
         }
     }
