Count a hub connection against the descriptors from before its dial

Need: the change log, the callers and the listener must find their descriptors whatever the links to hubs do. Only connections that were up were counted, and nothing stopped a dial at the bound: a dial holds its descriptor as long as it hangs, and a link dialled wherever a call waited.

Ruled out: failing each dial over the bound at once. A call that may go to one hub alone would be refused though an idle connection could make room.

Change: a permit is taken before the dial and kept until the connection is closed. Such a failure says nothing of the hub, so it does not begin the time after which a hub that answers no dial counts as vanished.

Left: where more hubs than permits hold calls that stand, a call to one more hub is refused there and goes elsewhere, or is refused.

--- a/src/net/hub.rs
+++ b/src/net/hub.rs
@@ -113,7 +113,7 @@
     limits: Limits,
     clock: Clock,
     connections: Vec<Connection>,
-    dials: JoinSet<io::Result<TcpStream>>,
+    dials: JoinSet<io::Result<(TcpStream, Door)>>,
     /// Set-ups that wait for a connection.
     waiting: VecDeque<SetUp>,
     /// Releases that wait for one.
@@ -290,9 +290,11 @@
         if self.dials.is_empty() && self.connections.len() < CONNECTIONS {
             self.next_dial = None;
             let (address, limit) = (self.address, self.limits.dial_timeout);
+            let door = self.doors.open(!self.waiting.is_empty() || !self.parked.is_empty());
             self.dials.spawn(async move {
                 let address = address.ok_or(io::ErrorKind::InvalidInput)?;
-                dial(address, limit).await
+                let door = door.await?;
+                Ok((dial(address, limit).await?, door))
             });
         }
     }
@@ -305,10 +307,10 @@
         }
     }
 
-    fn dialled(&mut self, dialled: io::Result<TcpStream>) {
+    fn dialled(&mut self, dialled: io::Result<(TcpStream, Door)>) {
         let now = Instant::now();
         match dialled {
-            Ok(stream) => {
+            Ok((stream, door)) => {
                 self.alive = now;
                 self.backoff = BACKOFF;
                 self.failing_since = None;
@@ -335,7 +337,7 @@
                     heard: now,
                     partial: None,
                     unheard: None,
-                    _door: self.doors.open(),
+                    _door: door,
                 });
             }
             Err(error) => {
@@ -346,7 +348,11 @@
                 self.news.extend(self.waiting.drain(..).map(unreachable));
                 self.next_dial = Some(now + self.backoff);
                 self.backoff = (self.backoff * 2).min(BACKOFF_MOST);
-                let failing = now - *self.failing_since.get_or_insert(now);
+                // Danger: where no descriptor was left, nothing was dialled, and the hub may be well.
+                let failing = match error.kind() {
+                    doors::NONE_LEFT => Duration::ZERO,
+                    _ => now - *self.failing_since.get_or_insert(now),
+                };
                 let open = !self.connections.is_empty();
                 // Danger: a process that died takes its calls with it, and nobody else tells. A refused
                 // connection proves that it is gone; a machine that vanished refuses nothing.
@@ -429,7 +435,11 @@
         }
         let spare_most = self.connections.len().saturating_sub(self.kept());
         // Danger: with more hubs than descriptors, what is idle here is missing elsewhere.
-        let idle_most = if self.doors.full() { SCARCE_IDLE } else { SPARE_IDLE };
+        let idle_most = match (self.doors.pressed(), self.doors.full()) {
+            (true, _) => Duration::ZERO,
+            (false, true) => SCARCE_IDLE,
+            (false, false) => SPARE_IDLE,
+        };
         let spare = |c: &Connection| c.open.is_empty() && c.queue.is_empty() && c.output.is_empty();
         let idle = |c: &Connection| spare(c) && now - c.heard >= idle_most;
         if let Some(index) = self.connections.iter().position(idle).filter(|_| spare_most > 0) {
