Read the sockets before a tick's further attempts, and take departures first

Cause: after a stop the runtime's wait returns without socket events, and timers are run first: the core's tick began an attempt whose pause was over before the caller's end, long in its socket, was read. Inputs were also taken 64 at a time, so that a withdrawal further behind came after what the refusals ahead of it led to.

The core yields once before a tick, takes in all that waits, and handles withdrawals first; the clock is still looked at every 64 inputs. Ruled out: looking at the clock less often, which only makes the crossing rarer.

A link that finds its hub writable or its dial up in the same turn can still be ahead of the core; that needs a look in net/hub.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -1021,7 +1021,8 @@
 }
 
 /// Danger: where the processor is short, a set-up may wait here while its caller leaves. Taken one by one, it
-/// would be sent on for nobody. Takes out the set-ups that are withdrawn later in the same turn.
+/// would be sent on for nobody. Takes out the set-ups that are withdrawn later in the same turn, and puts the
+/// withdrawals first: those ahead of a new set-up of the same name stay there.
 fn skip_withdrawn(turn: &mut Vec<Input>) {
     let key = |front: FrontId, origin: Origin, call: CallName| (front.0, origin.0, call);
     let mut gone = HashSet::new();
@@ -1048,25 +1049,46 @@
         })
         .collect();
     turn.retain(|_| keep.pop().unwrap_or(true));
+    // What else is in the turn may lead to a further attempt of a call that is withdrawn in it.
+    turn.sort_by_key(|input| !matches!(input, Input::Withdrawn(..)));
 }
 
 /// Runs the core until every sender of its queue is gone.
+///
+/// Danger: where the processor is short, a timer that is due is seen before the sockets are, and what came there long
+/// before would be handled after what the timer leads to. So the sockets are read before a tick, and all that waits is
+/// taken together, departures first.
 pub async fn run(mut core: Core, mut inputs: mpsc::Receiver<Input>, clock: Clock) {
     let mut ticks = tokio::time::interval(Duration::from_micros(TICK.0));
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut turn = Vec::with_capacity(TURN);
+    let mut waiting = Vec::with_capacity(TURN);
     loop {
-        tokio::select! {
-            _ = ticks.tick() => core.tick(clock.now()),
-            count = inputs.recv_many(&mut turn, TURN) => {
+        let ticked = tokio::select! {
+            _ = ticks.tick() => true,
+            count = inputs.recv_many(&mut waiting, QUEUE) => {
                 if count == 0 {
                     return;
                 }
-                skip_withdrawn(&mut turn);
-                for input in turn.drain(..) {
-                    core.handle(clock.now(), input);
-                }
+                false
+            }
+        };
+        if ticked {
+            // It goes on once the runtime has polled the sockets and run the tasks that these woke.
+            tokio::task::yield_now().await;
+        }
+        while waiting.len() < QUEUE {
+            let Ok(input) = inputs.try_recv() else { break };
+            waiting.push(input);
+        }
+        skip_withdrawn(&mut waiting);
+        for (number, input) in waiting.drain(..).enumerate() {
+            if number > 0 && number % TURN == 0 {
+                core.tick(clock.now());
             }
+            core.handle(clock.now(), input);
+        }
+        if ticked {
+            core.tick(clock.now());
         }
     }
 }
