Let the link hear of departures before a set-up begins

Ruled out: looking at the caller's socket at the first byte (the link knows no caller). Change: before a set-up may begin, the runtime's tasks have three turns, and all commands that wait are taken in.

--- a/src/net/hub.rs
+++ b/src/net/hub.rs
@@ -41,8 +41,10 @@
 /// New connections that end unheard: the first two are dialled again at once, then this passes.
 const RESET_PAUSE: Duration = Duration::from_millis(100);
 const RESETS: u32 = 2;
-/// Commands that are taken in before anything is written: a give-up that waits takes its set-up back.
-const TURN: usize = 256;
+/// Before a set-up begins, the runtime's tasks have so many turns: one in which the fronts read what came to their
+/// sockets, one in which the core hears of it, and one more if it looked at its clock in between. Danger: where the
+/// processor is short, a hub that reads on is seen before the departure of a caller that came long before it.
+const LOOKS_BEFORE: usize = 3;
 /// One look takes in so much of a connection at most.
 const FILLS_EACH: usize = 64;
 /// This much is written at once; the rest can still be taken back.
@@ -188,19 +190,7 @@
                     }
                     Some(command) => {
                         self.command(command);
-                        // Danger: written one by one, a set-up whose give-up waits behind it would run for nobody.
-                        for _ in 0..TURN {
-                            match commands.try_recv() {
-                                Ok(ToHub::Close) => {
-                                    self.close_all();
-                                    self.news.push(FromHub::Closed);
-                                    closed = true;
-                                    break;
-                                }
-                                Ok(command) => self.command(command),
-                                Err(_) => break,
-                            }
-                        }
+                        closed = self.commands(&mut commands);
                     }
                 },
                 Some(dialled) = self.dials.join_next() => {
@@ -213,6 +203,12 @@
                 _ = looks.tick() => self.look(),
                 index = poll_fn(|cx| poll_connections(&self.connections, cx)) => self.read(index),
             }
+            if !closed && self.may_begin() {
+                for _ in 0..LOOKS_BEFORE {
+                    tokio::task::yield_now().await;
+                }
+                closed = self.commands(&mut commands);
+            }
             self.write();
             self.debt.set(self.parked.len() + self.connections.iter().map(Connection::owes).sum::<usize>());
             for news in self.news.drain(..) {
@@ -223,6 +219,26 @@
         }
     }
 
+    /// Whether a set-up may begin at the next write.
+    fn may_begin(&self) -> bool {
+        let set_up = |out: &Out| matches!(out, Out::SetUp(_));
+        self.connections.iter().any(|c| c.queue.iter().any(set_up))
+    }
+
+    /// Takes in all commands that wait; whether the link is closed. Danger: written one by one, a set-up whose
+    /// give-up waits behind it would run for nobody.
+    fn commands(&mut self, commands: &mut mpsc::Receiver<ToHub>) -> bool {
+        while let Ok(command) = commands.try_recv() {
+            if matches!(command, ToHub::Close) {
+                self.close_all();
+                self.news.push(FromHub::Closed);
+                return true;
+            }
+            self.command(command);
+        }
+        false
+    }
+
     fn command(&mut self, command: ToHub) {
         match command {
             // The one that owes least: a connection that answers no more collects no further set-ups.
