Let the runtime poll the sockets before a connection's time limit is enforced

Cause: after a stop of the process the runtime sees timers before sockets, and reads no socket that it does not hold to be ready: the look before a time limit found a full socket empty, and a connection with a whole request on it was closed as idle. Change: the look before the idle limit, the limit for a whole message and an eviction yields once first. Ruled out: reading the socket past the runtime's readiness (there is no such call without a descriptor of our own).

--- a/src/net/sip_server/connection.rs
+++ b/src/net/sip_server/connection.rs
@@ -212,7 +212,7 @@
                     Some(Command::Release(release)) => self.release(release),
                     // Danger: what came since it was chosen is looked at first; half a request counts.
                     Some(Command::CloseIdle) if self.owes() == 0 => {
-                        if !matches!(self.look(stream).await, Look::Taken) {
+                        if !matches!(self.look_again(stream).await, Look::Taken) {
                             return End::Gone;
                         }
                     }
@@ -220,14 +220,14 @@
                     None => return End::Gone,
                 },
                 _ = tokio::time::sleep_until(idle_at), if !busy => {
-                    if self.ending || !matches!(self.look(stream).await, Look::Taken) {
+                    if self.ending || !matches!(self.look_again(stream).await, Look::Taken) {
                         return End::Gone;
                     }
                 }
                 // Danger: a caller that stays silent, or half-way through a message, holds a descriptor
                 // for ever and is owed a word. What it has open is failed, so that nobody waits for it.
                 _ = tokio::time::sleep_until(whole_by.unwrap_or(idle_at)), if whole_by.is_some() && !self.ending => {
-                    match self.look(stream).await {
+                    match self.look_again(stream).await {
                         Look::Nothing => self.fail_open().await,
                         Look::Taken => {}
                         Look::Ended => return End::Gone,
@@ -263,6 +263,13 @@
         self.releases.check(Instant::now(), |release| registry.repeat(release));
     }
 
+    /// Looks before a time limit is enforced or a connection is evicted. Danger: timers and commands may be seen before
+    /// the sockets are polled, and a socket that was not ready before seems empty, however long ago a request came.
+    async fn look_again(&mut self, stream: &TcpStream) -> Look {
+        tokio::task::yield_now().await;
+        self.look(stream).await
+    }
+
     /// Takes in what the socket has. Danger: where the processor is short, a time limit and what came long
     /// before it are seen at the same moment; a set-up that waits here is taken, and a connection closed for
     /// its silence would lose it.
