Hold set-ups until the rest of the socket is read, and let a flood's answers out between

Cause: a look took in a part of the socket and handed on its set-ups, with the caller's end or CANCELs right behind them. And a send that may wait yields after each 128 messages: between two withdrawals of a closed connection the core sent on calls that the second one withdrew. Without these waits a flood is read to its end before the core has had a turn, and a flood that then shuts down for writing ends with nothing answered.

Change: messages to the core are sent at once and wait only where its queue is full. What was taken in is held until the socket has no more or 192 KB are held (4 MB over all connections), counted before it is stored. Once such a part is handed on while the socket has more, nothing is read until the core's queue is empty (16 turns at most) and three turns more have passed; what came by then is written. Refusals that wait when the end is seen are written once, as far as the socket takes them, unless an answer is half written. Ruled out: waiting until all that is open is answered (a CANCEL behind it would not be seen in time), a time limit (says nothing where the processor is short), one longer look.

--- a/src/net/sip_server/connection.rs
+++ b/src/net/sip_server/connection.rs
@@ -1,7 +1,9 @@
 //! One connection of callers: its socket, its limits, and what is still owed when it ends.
 
+mod held;
 mod messages;
 
+use self::held::Held;
 use super::registry::Command;
 use super::release_tracker::ReleaseTracker;
 use super::Server;
@@ -33,6 +35,10 @@
 const MAX_LINGER_BYTES: usize = 256 * 1024;
 /// One look takes in so much of a connection at most: a flood on one starves no other.
 const MAX_FILLS: usize = 8;
+/// Turns that a connection leaves to other tasks, at most, for the core to take in a part of a flood ...
+const MAX_CORE_TURNS: usize = 16;
+/// ... and once it has, for its answers to arrive here before more is read.
+const ANSWER_TURNS: usize = 3;
 
 /// Who ends a connection.
 enum End {
@@ -78,6 +84,10 @@
     used: Instant,
     /// No more is read; the connection ends once all is written.
     ending: bool,
+    /// Taken in and not handed on yet.
+    held: Held,
+    /// A part of a flood was handed on: its answers come before more is read.
+    handed_part: bool,
     debt: Debt,
 }
 
@@ -103,29 +113,33 @@
         half_since: Some(Instant::now()),
         used: Instant::now(),
         ending: false,
+        held: Held::new(&server.held),
+        handed_part: false,
         debt: server.owed.debt(),
     };
     let end = connection.run(&stream, &mut commands).await;
     let lingers = matches!(end, End::Ours);
     server.registry().remove(number, lingers);
     commands.close();
+    connection.abandon_held().await;
+    let unsent = connection.write_refusals(&stream, &mut commands).await;
     let Connection { open, written, answers, releases, mut input, mut debt, .. } = connection;
     let mut calls: Vec<CallName> = open.into_keys().collect();
     calls.sort();
     for call in calls {
-        let _ = server.core.send(Input::Withdrawn(server.id, Origin(number), call)).await;
+        server.tell_core(Input::Withdrawn(server.id, Origin(number), call)).await;
     }
     // Danger: an answer of which the caller never got the last byte is none, and its hub holds the call.
     for (_, call) in answers.into_iter().filter(|(end, _)| *end > written) {
-        let _ = server.core.send(Input::Hangup(server.id, call, Cause::NORMAL)).await;
+        server.tell_core(Input::Hangup(server.id, call, Cause::NORMAL)).await;
     }
     for release in releases.end(Instant::now()) {
         server.registry().release(release);
     }
-    while let Ok(command) = commands.try_recv() {
+    for command in unsent {
         match command {
             Command::Core(ToFront::Answer(_, call, _)) => {
-                let _ = server.core.send(Input::Hangup(server.id, call, Cause::NORMAL)).await;
+                server.tell_core(Input::Hangup(server.id, call, Cause::NORMAL)).await;
             }
             Command::Core(release @ ToFront::Release(..)) => {
                 server.registry().route(release);
@@ -162,11 +176,17 @@
 impl Connection {
     /// What it owes its caller.
     fn owes(&self) -> usize {
-        self.open.len() + usize::from(!self.output.is_empty()) + usize::from(!self.input.held().is_empty())
+        self.open.len()
+            + usize::from(!self.output.is_empty())
+            + usize::from(!self.input.held().is_empty())
+            + usize::from(!self.held.is_empty())
     }
 
     async fn run(&mut self, stream: &TcpStream, commands: &mut mpsc::Receiver<Command>) -> End {
         loop {
+            if std::mem::take(&mut self.handed_part) {
+                self.let_core_answer(commands).await;
+            }
             // Danger: what came whole ahead of what cannot be read was taken, and would end without a word.
             if self.ending && !self.open.is_empty() {
                 self.fail_open().await;
@@ -274,10 +294,33 @@
     /// before it are seen at the same moment; a set-up that waits here is taken, and a connection closed for
     /// its silence would lose it.
     ///
-    /// Danger: a caller may be gone before what it sent is read, and then nothing is sent on for it: its
-    /// end is looked for before its set-ups are handed on.
+    /// Danger: a caller may be gone before what it sent is read, and then nothing is sent on for it. Its end, or its
+    /// CANCEL, may be in the rest of the socket: what was taken in is held until that is read too, within bounds.
     async fn look(&mut self, stream: &TcpStream) -> Look {
-        let (mut look, mut inputs) = (Look::Nothing, Vec::new());
+        let mut inputs = self.held.take();
+        let (look, is_drained) = self.read(stream, &mut inputs);
+        if matches!(look, Look::Ended) {
+            self.drop_offers(&mut inputs);
+        }
+        let has_more = matches!(look, Look::Taken) && !is_drained && !self.ending;
+        if has_more && self.held.has_room() {
+            self.held.put(inputs);
+            self.debt.set(self.owes());
+            return look;
+        }
+        self.held.clear();
+        // Before anything waits: the program may be about to end, and looks at what is owed.
+        self.debt.set(self.owes());
+        for input in inputs {
+            self.server.tell_core(input).await;
+        }
+        self.handed_part = has_more;
+        look
+    }
+
+    /// Reads a bounded part of what the socket has; whether that was all.
+    fn read(&mut self, stream: &TcpStream, inputs: &mut Vec<Input>) -> (Look, bool) {
+        let mut look = Look::Nothing;
         for _ in 0..MAX_FILLS {
             match self.input.fill(stream) {
                 Ok(count) if count > 0 => {
@@ -285,33 +328,87 @@
                     self.used = Instant::now();
                     self.heard = Some(self.used);
                     self.releases.read(self.used);
-                    self.take_in(self.server.clock.now(), &mut inputs);
+                    self.held.count(count);
+                    self.take_in(self.server.clock.now(), inputs);
                     if self.ending {
                         break;
                     }
                 }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return (look, true),
                 Ok(_) => {
                     // Its end is a sign of life too.
                     self.releases.read(Instant::now());
-                    look = Look::Ended;
-                    break;
-                }
-                Err(_) => {
-                    look = Look::Ended;
-                    break;
+                    return (Look::Ended, true);
                 }
+                Err(_) => return (Look::Ended, true),
             }
         }
-        if matches!(look, Look::Ended) {
-            inputs.retain(|input| !matches!(input, Input::Offer(o) if self.open.remove(&o.call).is_some()));
-        }
-        // Before anything waits: the program may be about to end, and looks at what is owed.
-        self.debt.set(self.owes());
+        (look, false)
+    }
+
+    /// Drops set-ups that were never handed on: their caller has gone.
+    fn drop_offers(&mut self, inputs: &mut Vec<Input>) {
+        inputs.retain(|input| !matches!(input, Input::Offer(o) if self.open.remove(&o.call).is_some()));
+    }
+
+    /// Hands on what is held when the connection ends, save set-ups.
+    async fn abandon_held(&mut self) {
+        let mut inputs = self.held.take();
+        self.held.clear();
+        self.drop_offers(&mut inputs);
         for input in inputs {
-            let _ = self.server.core.send(input).await;
+            self.server.tell_core(input).await;
         }
-        look
+    }
+
+    /// Lets the core take in a part of a flood, and takes the answers to it, before more is read. Danger: a flood that
+    /// is read to its end without that ends with none of it answered. It is bounded by turns, not by what is
+    /// open: the rest of the socket may hold a departure, which must be read soon.
+    async fn let_core_answer(&mut self, commands: &mut mpsc::Receiver<Command>) {
+        for _ in 0..MAX_CORE_TURNS {
+            tokio::task::yield_now().await;
+            if self.server.core.capacity() == self.server.core.max_capacity() {
+                break;
+            }
+        }
+        for _ in 0..ANSWER_TURNS {
+            tokio::task::yield_now().await;
+        }
+        // The rest of them once these are written.
+        while self.output.len() < MAX_OUTPUT / 2 {
+            match commands.try_recv() {
+                Ok(Command::Core(message)) => self.tell(message).await,
+                Ok(Command::Release(release)) => self.release(release),
+                // It is in use.
+                Ok(Command::CloseIdle) => {}
+                Err(_) => return,
+            }
+        }
+    }
+
+    /// Writes the refusals that came before the connection's end was seen, as far as the socket takes them at once; a
+    /// caller that only shut its side for writing reads them. Gives back what else came. Danger: an answer that is
+    /// not written whole yet belongs to a call that is about to be released, and nothing is written then.
+    async fn write_refusals(
+        &mut self,
+        stream: &TcpStream,
+        commands: &mut mpsc::Receiver<Command>,
+    ) -> Vec<Command> {
+        let mut others = Vec::new();
+        while let Ok(command) = commands.try_recv() {
+            match command {
+                Command::Core(message @ (ToFront::Refuse(..) | ToFront::Fail(..)))
+                    if self.output.len() < MAX_OUTPUT =>
+                {
+                    self.tell(message).await;
+                }
+                other => others.push(other),
+            }
+        }
+        if self.answers.is_empty() {
+            let _ = stream.try_write(&self.output);
+        }
+        others
     }
 
     /// Fails the set-ups that are open here, and ends once that is written.
@@ -321,7 +418,7 @@
         for (call, open) in open {
             self.respond((500, "Server Internal Error"), &open.headers, &[], &[]);
             let withdrawn = Input::Withdrawn(self.server.id, Origin(self.number), call);
-            let _ = self.server.core.send(withdrawn).await;
+            self.server.tell_core(withdrawn).await;
         }
         self.ending = true;
         self.used = Instant::now();
--- a/src/net/sip_server/connection/messages.rs
+++ b/src/net/sip_server/connection/messages.rs
@@ -121,7 +121,7 @@
                 // Danger: the caller gave its set-up up while the answer was under way to it. Nobody
                 // has the call: it is released at the hub, and no second answer goes out.
                 None => {
-                    let _ = self.server.core.send(Input::Hangup(self.server.id, call, Cause::NORMAL)).await;
+                    self.server.tell_core(Input::Hangup(self.server.id, call, Cause::NORMAL)).await;
                 }
             },
             ToFront::Refuse(_, call, away) => {
--- a/src/net/sip_server/mod.rs
+++ b/src/net/sip_server/mod.rs
@@ -11,6 +11,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::net::TcpListener;
+use tokio::sync::mpsc::error::TrySendError;
 use tokio::sync::{mpsc, watch};
 use tokio::time::Duration;
 
@@ -30,6 +31,8 @@
     status: watch::Receiver<Status>,
     registry: Mutex<ConnectionRegistry>,
     owed: Owed,
+    /// Bytes that connections have taken in and not handed on to the core yet.
+    held: Owed,
     max_connections: usize,
 }
 
@@ -37,6 +40,16 @@
     fn registry(&self) -> MutexGuard<'_, ConnectionRegistry> {
         self.registry.lock().unwrap_or_else(PoisonError::into_inner)
     }
+
+    /// Tells the core something. Danger: sending that may wait lets other tasks run every so often, and between two
+    /// withdrawals of one connection the core would send on what the second one withdraws. So this waits only where
+    /// the core's queue is full.
+    async fn tell_core(&self, input: Input) {
+        if let Err(TrySendError::Full(input)) = self.core.try_send(input) {
+            // It fails only once the core has ended.
+            let _ = self.core.send(input).await;
+        }
+    }
 }
 
 /// What a SIP server is given to work with.
@@ -66,14 +79,15 @@
     // Callers hold a third of the descriptors; more are let in as long as the rest is not needed.
     let max_connections = sockets / 2;
     let registry = Mutex::default();
-    let server = Arc::new(Server { id, listen, clock, core, status, registry, owed, max_connections });
+    let held = Owed::default();
+    let server = Arc::new(Server { id, listen, clock, core, status, registry, owed, held, max_connections });
     let deliverer = server.clone();
     tokio::spawn(async move {
         while let Some(message) = answers.recv().await {
             let back = deliverer.registry().route(message);
             // The caller's connection ended as its answer came: nobody has the call.
             if let Some(ToFront::Answer(_, call, _)) = back {
-                let _ = deliverer.core.send(Input::Hangup(deliverer.id, call, Cause::NORMAL)).await;
+                deliverer.tell_core(Input::Hangup(deliverer.id, call, Cause::NORMAL)).await;
             }
         }
     });
