Have tests start the program on a port that the system chooses

Ruled out: retrying the start (the program would have to be told from one that fails for a reason of its own). Change: the program logs the address that it has bound, so that port 0 can be configured; tests read it there. Addresses at which nobody listens stay bound while the test runs. The new poll is kept open till the log is looked at; the assertion is the same.

--- a/src/main.rs
+++ b/src/main.rs
@@ -112,6 +112,8 @@
     socket.set_reuseaddr(true)?;
     socket.bind(config.listen).map_err(named)?;
     let listener = socket.listen(1024).map_err(named)?;
+    // With port 0 in the configuration the system has chosen one.
+    let listen = listener.local_addr()?;
 
     let clock = Clock::system();
     let (inputs, queue) = mpsc::channel(core::QUEUE);
@@ -179,7 +181,7 @@
     };
     let serving = sip_server::run(sip_config, listener, to_front);
     let ending = Ending::before_kill(config.settings.classes.iter().map(|c| c.deadline).max());
-    tracing::info!(name = config.name, "serving at {}", config.listen);
+    tracing::info!(name = config.name, "serving at {listen}");
     let stop = async {
         tokio::select! { _ = terminate.recv() => {}, _ = interrupt.recv() => {} }
         wind_down(inputs.clone(), clock, watched, owed, ending).await;
--- a/tests/common/peers.rs
+++ b/tests/common/peers.rs
@@ -30,9 +30,27 @@
     }
 }
 
-/// A loopback address that was free a moment ago.
-pub fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a free port")
+/// A loopback address whose port the system chooses once it is bound. Danger: a port that was free when it was
+/// asked for may be taken when a process binds it.
+pub fn any_address() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// An address that is kept as long as this lives: it is bound, and connections to it are refused, until a process
+/// that reuses addresses, as the program does, listens there.
+pub struct ReservedAddress {
+    _socket: tokio::net::TcpSocket,
+    pub address: SocketAddr,
+}
+
+impl ReservedAddress {
+    pub fn bind() -> ReservedAddress {
+        let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+        socket.set_reuseaddr(true).expect("set");
+        socket.bind(any_address()).expect("bound");
+        let address = socket.local_addr().expect("an address");
+        ReservedAddress { _socket: socket, address }
+    }
 }
 
 /// The started program; it is killed when it goes out of scope.
@@ -58,7 +76,7 @@
         (descriptors, promised): (u32, u32),
     ) -> Program {
         let promise = |text: String| text.replace("\"sockets\":1024", &format!("\"sockets\":{promised}"));
-        Program::launch(free_address(), targets, change_log, operator, descriptors, promise)
+        Program::launch(any_address(), targets, change_log, operator, descriptors, promise)
     }
 
     /// Starts it with a configuration that is changed first.
@@ -67,7 +85,7 @@
         change_log: Option<SocketAddr>,
         change: impl Fn(String) -> String,
     ) -> Program {
-        Program::launch(free_address(), targets, change_log, None, 1024, change)
+        Program::launch(any_address(), targets, change_log, None, 1024, change)
     }
 
     /// Starts it at an address, with so many descriptors, and waits till it passes its test.
@@ -95,7 +113,11 @@
             std::fs::write(folder.join("operator.json"), text).expect("written");
             command.env("PETRELDOCK_OPERATOR", folder.join("operator.json"));
         }
-        let program = Program { child: command.spawn().expect("it starts"), address, folder };
+        let mut program = Program { child: command.spawn().expect("it starts"), address, folder };
+        if address.port() == 0 {
+            program.address = until("the program says where it serves", || program.served_address());
+        }
+        let address = program.address;
         until("the program passes its test", || {
             let mut caller = Caller::try_connect(address)?;
             caller.send("OPTIONS", 0, "", b"");
@@ -104,6 +126,13 @@
         program
     }
 
+    /// Where it serves, by its log.
+    fn served_address(&self) -> Option<SocketAddr> {
+        let log = self.log();
+        let address = log.split("serving at ").nth(1)?;
+        address.split(|c: char| c.is_whitespace() || c == '"').next()?.parse().ok()
+    }
+
     /// Stops the process where it stands. What is sent to it meanwhile is all there when it goes on.
     pub fn pause(&self) {
         self.signal("-STOP");
--- a/tests/departed.rs
+++ b/tests/departed.rs
@@ -167,7 +167,7 @@
 
 /// The program with its debug log, and with settings that are changed first.
 fn started(targets: &[String], change: impl Fn(String) -> String) -> Program {
-    Program::launch(free_address(), targets, None, DEBUG, 1024, |text| change(unhurried(text)))
+    Program::launch(any_address(), targets, None, DEBUG, 1024, |text| change(unhurried(text)))
 }
 
 /// A pause so long that a test can do much in it.
--- a/tests/descriptors.rs
+++ b/tests/descriptors.rs
@@ -9,7 +9,7 @@
 #[path = "common/site.rs"]
 mod site;
 
-use peers::{free_address, invitation, request, until, Caller, Program, Said, HUB_BODY};
+use peers::{any_address, invitation, request, until, Caller, Program, ReservedAddress, Said, HUB_BODY};
 use petreldock::net::binary::{self, code, kind};
 use petreldock::net::doors;
 use std::io::Write;
@@ -492,7 +492,7 @@
     let promise = |text: String| {
         a_class_each(text.replace("\"sockets\":1024", &format!("\"sockets\":{sockets}")), hubs)
     };
-    Program::launch(free_address(), targets, log, Some(operator), sockets as u32, promise)
+    Program::launch(any_address(), targets, log, Some(operator), sockets as u32, promise)
 }
 
 /// The program was never without a descriptor, nor at its limit.
@@ -772,7 +772,7 @@
     let promise = |text: String| a_class_each(text.replace("\"sockets\":1024", "\"sockets\":256"), 1);
     let started = Instant::now();
     let program =
-        Program::launch(free_address(), &hubs.targets(0..1), Some(log.address), Some(LOG_ALL), 48, promise);
+        Program::launch(any_address(), &hubs.targets(0..1), Some(log.address), Some(LOG_ALL), 48, promise);
     let _press = Press::start(&background, program.address, 256, &[Idle::Silent, Idle::Standing]);
     until("accept fails", || program.logged("front: cannot accept").then_some(()));
     assert_calls_go(&program, [0; 4], "with no descriptor left");
@@ -791,7 +791,8 @@
 /// How long a start takes that knows so many hubs, of which a few are there, the rest refuse or hang.
 fn ready_after(background: &Background, targets: &[String], sockets: usize) -> Duration {
     let log = Discovery::down(background, Down::Full);
-    let address = free_address();
+    let reserved = ReservedAddress::bind();
+    let address = reserved.address;
     let _press = Press::start(background, address, sockets, &[Idle::Silent, Idle::Half]);
     let promise = |text: String| text.replace("\"sockets\":1024", &format!("\"sockets\":{sockets}"));
     let from = Instant::now();
--- a/tests/ends.rs
+++ b/tests/ends.rs
@@ -323,7 +323,7 @@
     let _quiet = quiet();
     let mut hub = ScriptedHub::narrow();
     let debug = Some(r#"{"log":{"level":"debug"}}"#);
-    let program = Program::launch(free_address(), &[hub.target(0)], None, debug, 1024, unhurried);
+    let program = Program::launch(any_address(), &[hub.target(0)], None, debug, 1024, unhurried);
     let mut stays = Caller::connect(program.address);
     let said = |what: &str, call: u64| program.logged(&format!("{what} call={call:016x}"));
     // Both connections are filled, call by call, till several in a row are sent on and no first byte goes out.
@@ -548,7 +548,9 @@
     hangs.send(()).expect("it watches");
     let mut hung = watch.join().expect("asked once more");
     program.reload(|text| text.replace(&from, &to), &format!("reloaded: change log now at {to}"));
-    assert_eq!(poll(&new).1, 1, "from the last event on");
+    // Kept open: its end would be a poll that failed.
+    let (_polled, since) = poll(&new);
+    assert_eq!(since, 1, "from the last event on");
     let mut bytes = [0; 16];
     assert_eq!(hung.read(&mut bytes).expect("an end"), 0, "the old one is let go");
     assert!(!program.logged("asking again"), "not because its time was up: {}", program.log());
@@ -622,7 +624,8 @@
 #[test]
 fn a_start_needs_neither_the_change_log_nor_any_hub() {
     let _quiet = quiet();
-    let nobody: Vec<SocketAddr> = (0..3).map(|_| free_address()).collect();
+    let reserved: Vec<ReservedAddress> = (0..3).map(|_| ReservedAddress::bind()).collect();
+    let nobody: Vec<SocketAddr> = reserved.iter().map(|r| r.address).collect();
     let targets: Vec<String> = (0..2)
         .map(|n| site::target(&format!("s-{n}"), &nobody[n].to_string(), n as i64, "in_service"))
         .collect();
--- a/tests/state.rs
+++ b/tests/state.rs
@@ -214,6 +214,9 @@
     let root = petreldock::config::At::root(&value, "");
     assert_eq!(root.key("level").text(), Ok("INFO"));
     assert_eq!(root.key("fields").key("name").text(), Ok("n1"));
-    let quiet = Program::start(&[], None, Some(r#"{"log":{"level":"error"}}"#));
+    // One that says nothing does not say where it serves either.
+    let reserved = ReservedAddress::bind();
+    let operator = Some(r#"{"log":{"level":"error"}}"#);
+    let quiet = Program::launch(reserved.address, &[], None, operator, 1024, |text| text);
     assert_eq!(quiet.log(), "");
 }
