Split a hub's connection and its messages out of net/hub

Change: hub/connection.rs (what is out, what waits, bytes), hub/messages.rs (what a message means); nothing else.

--- a/src/net/hub.rs
+++ b/src/net/hub.rs
@@ -3,16 +3,18 @@
 //! Set-ups wait in a queue until their first byte can go out, so that they can be taken back; a hub
 //! that stops reading blocks no other. What the link tells the core, it tells in the hub's order.
 
-use super::binary::{self, code, kind, Message};
-use super::buffer::Buffer;
+mod connection;
+mod messages;
+
+use super::binary::{self, kind, Message};
 use super::dial::dial;
 use super::doors::{self, Door, Doors};
 use super::owed::{Debt, Owed};
-use super::SDP;
 use crate::config::Limits;
-use crate::core::{CallName, Cause, Clock, Description, FromHub, Input, LinkId, Note, SetUp, ToHub};
-use crate::interface::{Micros, Report};
-use bytes::Bytes;
+use crate::core::{CallName, Cause, Clock, FromHub, Input, LinkId, SetUp, ToHub};
+use crate::interface::Micros;
+use connection::{Connection, Out};
+use messages::take;
 use std::collections::{HashMap, VecDeque};
 use std::future::poll_fn;
 use std::io;
@@ -30,14 +32,6 @@
 const CONNECTIONS: usize = 4;
 /// ... and as many as are kept up: what one of them loses, the other shows.
 const WANTED: usize = 2;
-/// A message that began comes whole within this.
-const WHOLE: Duration = Duration::from_millis(300);
-/// A set-up whose answer is missing though one begun this much later was answered has lost it: a hub
-/// takes set-ups in their order, and jitter is far smaller.
-const OVERTAKEN: Duration = Duration::from_millis(120);
-/// A set-up given up after this, with nothing heard since it began, makes its connection suspect. Danger: the
-/// module calls off what it sees overtaken, and the connection would look as if it owed nothing.
-const SUSPECT: Duration = Duration::from_millis(100);
 /// New connections that end unheard: the first two are dialled again at once, then this passes.
 const RESET_PAUSE: Duration = Duration::from_millis(100);
 const RESETS: u32 = 2;
@@ -47,8 +41,6 @@
 const LOOKS_BEFORE: usize = 3;
 /// One look takes in so much of a connection at most.
 const FILLS_EACH: usize = 64;
-/// This much is written at once; the rest can still be taken back.
-const BATCH: usize = 16 * 1024;
 /// A failed dial is followed by the next after this, then twice that, and so on,
 const BACKOFF: Duration = Duration::from_millis(100);
 /// ... up to this.
@@ -59,8 +51,6 @@
 const QUIET: Duration = Duration::from_secs(3);
 /// ... and has vanished if nothing comes up either once it was quiet for this long.
 const QUIET_MOST: Duration = Duration::from_millis(4_500);
-/// Acknowledgements of releases that may wait: they are free, and a hub may send and never read.
-const HEARD_MOST: usize = 256;
 /// Releases of calls that stand are looked for on a new connection, if the connection of their set-up has been
 /// silent, or gone, and no other has come up for this long. A hub repeats on the next connection what it could not
 /// tell, and within 8 s of its end a call must be released (PROTOCOL, 'The rules on sockets').
@@ -76,42 +66,6 @@
 /// A release that no connection could take is of no use after this.
 const RELEASE_KEPT: Duration = Duration::from_secs(10);
 
-/// A message to write.
-enum Out {
-    SetUp(SetUp),
-    GiveUp(CallName, u64),
-    Release(CallName, Cause),
-    Heard(CallName),
-}
-
-/// A set-up on a connection, from its first byte on.
-#[derive(Clone, Copy)]
-struct Begun {
-    attempt: u64,
-    at: Instant,
-}
-
-struct Connection {
-    id: u64,
-    stream: TcpStream,
-    input: Buffer,
-    /// Messages as bytes, with the length of each in `staged`; of the first, `begun` bytes are out.
-    output: Vec<u8>,
-    staged: VecDeque<(usize, Out)>,
-    begun: usize,
-    queue: VecDeque<Out>,
-    /// Set-ups begun here and not answered.
-    open: HashMap<CallName, Begun>,
-    opened: Instant,
-    heard: Instant,
-    /// Since when the message that is being read is not whole.
-    partial: Option<Instant>,
-    /// When a set-up began that was given up late, with nothing heard here since.
-    unheard: Option<Instant>,
-    /// It counts among the connections of all links.
-    _door: Door,
-}
-
 /// The link's state.
 struct Link {
     id: LinkId,
@@ -352,21 +306,7 @@
                 let mut queue: VecDeque<Out> =
                     self.parked.drain(..).map(|(_, call, cause)| Out::Release(call, cause)).collect();
                 queue.extend(self.waiting.drain(..).map(Out::SetUp));
-                self.connections.push(Connection {
-                    id: self.dialled,
-                    stream,
-                    input: Buffer::default(),
-                    output: Vec::new(),
-                    staged: VecDeque::new(),
-                    begun: 0,
-                    queue,
-                    open: HashMap::new(),
-                    opened: now,
-                    heard: now,
-                    partial: None,
-                    unheard: None,
-                    _door: door,
-                });
+                self.connections.push(Connection::new(self.dialled, stream, queue, door, now));
                 self.close_silent(now);
             }
             Err(error) => {
@@ -683,190 +623,5 @@
     Poll::Pending
 }
 
-/// Whether a release with this cause, of a set-up without an answer, ends a call that stood. PROTOCOL,
-/// 'Messages': cause 16 comes only after an answer, so the answer is still under way. Cause 41 comes after an
-/// answer or for a set-up that broke; which of the two cannot be told before the answer comes, perhaps
-/// seconds later.
-fn overtakes_answer(cause: Cause) -> bool {
-    matches!(cause, Cause::NORMAL | Cause::TEMPORARY_FAILURE)
-}
-
-/// What one message of a hub means; gives back when the set-up began that stands by it.
-fn take(
-    message: &Message,
-    connection: &mut Connection,
-    standing: &mut HashMap<CallName, u64>,
-    news: &mut Vec<FromHub>,
-) -> Option<Instant> {
-    let call = CallName(message.call);
-    match message.kind {
-        kind::ANSWER => {
-            let begun = connection.open.remove(&call);
-            tracing::debug!(%call, connection = connection.id, open = begun.is_some(), "answer");
-            // A second copy. One that is not open here crosses its give-up, or has an id that nobody
-            // knows: the core can tell.
-            if begun.is_none() && standing.contains_key(&call) {
-                return None;
-            }
-            if begun.is_some() {
-                standing.insert(call, connection.id);
-            }
-            let bytes = Bytes::copy_from_slice(message.parameter(code::DESCRIPTION).unwrap_or_default());
-            news.push(FromHub::Stands(call, Description { form: SDP, bytes }));
-            begun.map(|b| b.at)
-        }
-        kind::RELEASE => {
-            let open = connection.open.remove(&call).is_some();
-            let stood = standing.remove(&call).is_some();
-            let note = match message.text(code::NOTE) {
-                Some("congestion") => Note::Congestion,
-                Some("throttled") => Note::Throttled,
-                Some("engaged") => Note::Engaged,
-                _ => Note::None,
-            };
-            let cause = message.cause().map_or(Cause::TEMPORARY_FAILURE, Cause);
-            tracing::debug!(%call, connection = connection.id, cause = cause.0, open, stood, "release");
-            let report = message.report();
-            news.push(match open && overtakes_answer(cause) {
-                true => FromHub::ReleasedUnanswered(call, cause, report),
-                false => FromHub::Released(call, cause, note, report),
-            });
-            if connection.queue.len() < HEARD_MOST {
-                connection.queue.push_back(Out::Heard(call));
-            }
-            // Danger: a hub says at once what it cannot use, ahead of the set-ups that wait in its line;
-            // taken for an answer out of its turn, that would close sound connections.
-            None
-        }
-        kind::STATE | kind::TESTED => {
-            let report = message.report();
-            if report != Report::default() {
-                news.push(FromHub::State(report));
-            }
-            None
-        }
-        _ => None,
-    }
-}
-
-impl Connection {
-    /// How much it owes; one that is suspect comes last.
-    fn load(&self) -> (bool, usize) {
-        (self.unheard.is_some(), self.open.len() + self.queue.len())
-    }
-
-    /// Nothing is out or waits on it.
-    fn is_spare(&self) -> bool {
-        self.open.is_empty() && self.queue.is_empty() && self.output.is_empty()
-    }
-
-    /// Ends of calls that its hub was not told yet.
-    fn owes(&self) -> usize {
-        let end = |out: &&Out| matches!(out, Out::GiveUp(..) | Out::Release(..));
-        self.queue.iter().chain(self.staged.iter().map(|(_, out)| out)).filter(end).count()
-    }
-
-    /// Whether its answers come no more, though it stays open.
-    fn spoilt(&self, now: Instant, answered_begun: Option<Instant>) -> bool {
-        let oldest = self.open.values().map(|b| b.at).chain(self.unheard).min();
-        let overtaken = oldest.is_some_and(|at| answered_begun >= Some(at + OVERTAKEN));
-        overtaken || self.partial.is_some_and(|since| now - since >= WHOLE)
-    }
-
-    /// Writes what the socket takes. A set-up whose first byte has not gone out goes back to the queue,
-    /// where it can be taken back; its deadline and the hub's drain are looked at again then.
-    fn write(&mut self, now: Micros, not_after: Option<Micros>, news: &mut Vec<FromHub>) -> io::Result<()> {
-        loop {
-            while self.output.len() < BATCH {
-                let Some(out) = self.queue.pop_front() else { break };
-                self.stage(out, now, not_after, news);
-            }
-            if self.output.is_empty() {
-                return Ok(());
-            }
-            let count = match self.stream.try_write(&self.output) {
-                Ok(count) => count,
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => 0,
-                Err(error) => return Err(error),
-            };
-            self.written(count, news);
-            if !self.output.is_empty() {
-                self.unstage();
-                return Ok(());
-            }
-        }
-    }
-
-    fn stage(&mut self, out: Out, now: Micros, not_after: Option<Micros>, news: &mut Vec<FromHub>) {
-        let before = self.output.len();
-        let fits = match &out {
-            Out::SetUp(s) => {
-                if now >= s.until || not_after.is_some_and(|t| now >= t) {
-                    return news.push(FromHub::NotSent(s.call, s.attempt));
-                }
-                let wait = ((s.until - now).0 / 1000).max(1).to_string();
-                let parameters = [
-                    (code::CLASS, s.class.as_bytes()),
-                    (code::WAIT, wait.as_bytes()),
-                    (code::NUMBER, s.number.as_bytes()),
-                    (code::DESCRIPTION, &s.description.bytes[..]),
-                ];
-                // A caller of another protocol describes nothing that a table hub could use.
-                let count = if s.description.form == SDP { 4 } else { 3 };
-                binary::write(&mut self.output, kind::SET_UP, s.call.0, &parameters[..count])
-            }
-            Out::GiveUp(call, _) => release(&mut self.output, *call, Cause::NORMAL),
-            Out::Release(call, cause) => release(&mut self.output, *call, *cause),
-            Out::Heard(call) => binary::write(&mut self.output, kind::RELEASE_HEARD, call.0, &[]),
-        };
-        match (fits, out) {
-            (true, out) => self.staged.push_back((self.output.len() - before, out)),
-            (false, Out::SetUp(s)) => news.push(FromHub::NotSent(s.call, s.attempt)),
-            (false, _) => {}
-        }
-    }
-
-    /// `count` more bytes are out.
-    fn written(&mut self, count: usize, news: &mut Vec<FromHub>) {
-        self.output.drain(..count);
-        self.begun += count;
-        while let Some((length, out)) = self.staged.front() {
-            if let Out::SetUp(s) = out {
-                if self.begun > 0 {
-                    let begun = Begun { attempt: s.attempt, at: Instant::now() };
-                    self.open.entry(s.call).or_insert_with(|| {
-                        tracing::debug!(call = %s.call, attempt = s.attempt, connection = self.id, "begun");
-                        begun
-                    });
-                }
-            }
-            if self.begun < *length {
-                return;
-            }
-            self.begun -= length;
-            if let Some((_, Out::GiveUp(call, attempt))) = self.staged.pop_front() {
-                let begun = self.open.remove(&call).map(|b| b.at);
-                let late = |at: &Instant| at.elapsed() >= SUSPECT && self.heard < *at;
-                self.unheard = self.unheard.or(begun.filter(late));
-                tracing::debug!(%call, attempt, connection = self.id, "give-up written");
-                news.push(FromHub::GivenUp { attempt, call, began: true });
-            }
-        }
-    }
-
-    /// The socket is full: what has not begun goes back.
-    fn unstage(&mut self) {
-        while self.staged.len() > usize::from(self.begun > 0) {
-            let Some((length, out)) = self.staged.pop_back() else { return };
-            self.output.truncate(self.output.len() - length);
-            self.queue.push_front(out);
-        }
-    }
-}
-
-fn release(out: &mut Vec<u8>, call: CallName, cause: Cause) -> bool {
-    binary::write(out, kind::RELEASE, call.0, &[(code::CAUSE, &[cause.0])])
-}
-
 #[cfg(test)]
 mod tests;
