Look again before a set-up begins where the looks themselves took long

Cause, by reading and not proven: the stop fell between the link's three yields and its write, so that it wrote on resuming without the sockets having been polled. Change: looks during which more than 20 ms passed are repeated, three times at most; the write follows the last look at the commands. What remains is said at let_departures_in: a stop after the last look at the clock, and a processor so short that each of the looks takes that long.

--- a/src/net/hub.rs
+++ b/src/net/hub.rs
@@ -39,6 +39,11 @@
 /// sockets, one in which the core hears of it, and one more if it looked at its clock in between. Danger: where the
 /// processor is short, a hub that reads on is seen before the departure of a caller that came long before it.
 const LOOKS_BEFORE: usize = 3;
+/// Looks that took longer than this do not count, as the process may have been stopped or starved since the sockets
+/// were polled,
+const LOOKS_FRESH: Duration = Duration::from_millis(20);
+/// ... and are repeated so often at most: a processor that is short for good does not hold set-ups up.
+const LOOKS_REPEATED: usize = 3;
 /// One look takes in so much of a connection at most.
 const FILLS_EACH: usize = 64;
 /// A failed dial is followed by the next after this, then twice that, and so on,
@@ -165,9 +170,7 @@
                 index = poll_fn(|cx| poll_connections(&self.connections, cx)) => self.read(index),
             }
             if !closed && self.may_begin() {
-                for _ in 0..LOOKS_BEFORE {
-                    tokio::task::yield_now().await;
-                }
+                let_departures_in().await;
                 closed = self.commands(&mut commands);
             }
             self.write();
@@ -599,6 +602,24 @@
     }
 }
 
+/// Lets the runtime poll the sockets and the core hear of what came, before a set-up begins. Looks during which more
+/// than [`LOOKS_FRESH`] passed are repeated, [`LOOKS_REPEATED`] times at most.
+///
+/// Two gaps remain. A stop between the last look at the clock and the write goes unseen; the time between them is that
+/// of taking in the commands and composing the messages. And where each of the repeated looks takes that long, the
+/// set-up begins after the last of them, though the departure may not have been heard.
+async fn let_departures_in() {
+    for _ in 0..=LOOKS_REPEATED {
+        let begun = Instant::now();
+        for _ in 0..LOOKS_BEFORE {
+            tokio::task::yield_now().await;
+        }
+        if begun.elapsed() <= LOOKS_FRESH {
+            return;
+        }
+    }
+}
+
 /// Whether a failed dial shows that the hub's process is dead. A refusal proves it, unless a connection
 /// is open: a hub that drains may have closed its door alone. A dial that got no answer shows it after a
 /// while. Danger: an error of our own, such as having no descriptor left, shows nothing of the hub.
