--- a/src/net/doors.rs
+++ b/src/net/doors.rs
@@ -9,7 +9,7 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::{timeout, Duration};
 
-/// Callers may have half of the descriptors (`front`); this many more are the program's own, or a quarter where there
+/// Callers may have half of the descriptors (`sip_server`); this many more are the program's own, or a quarter where there
 /// are few: 10 for standard streams, events, signals and the listener, one each for the change log, a file of the
 /// state and its lock, the IAX2 front and the fleet; and one for each IAX2 hub, up to eight. The rest is for what the
 /// process was started with, and for connections that are being accepted or closed.
