Log why hubs are declared dead, calls cut and connections closed, and count events

At debug: spare connections to hubs closed as idle or silent (these were not logged at all, so that a link's connections could not be counted), the number open at each dial, attempts that a rule forbids, releases written, repeated, parked and lost, callers' connections that end. No behaviour changes. Tests links, silent_callers, core and program pass.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -13,6 +13,7 @@
 use crate::config::{Config, Limits, Names};
 use crate::interface::*;
 use crate::learning::{Identity, Kept, Memory, Painter, Picture};
+use crate::metrics;
 use crate::Controller;
 use ends::Seen;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
@@ -446,6 +447,7 @@
 
     fn offer(&mut self, now: Micros, offer: Offer) {
         self.offered += 1;
+        metrics::CALLS_OFFERED.increment();
         if let Some(known) = self.by_name.get(&offer.call).and_then(|id| self.calls.get(id)) {
             // A repeat of a set-up that is open: its answer is owed once. Danger: one from elsewhere, or
             // of a call that stands or is still being given up at a hub, must not get a second attempt,
@@ -565,6 +567,7 @@
                 let outcome = ends::outcome(Seen::Released(cause, note), call.standing, None);
                 if call.standing {
                     let (front, origin) = (call.front, call.origin);
+                    metrics::CALLS_RELEASED.increment();
                     self.to_front(front, ToFront::Release(Some(origin), name, cause));
                 }
                 self.end_attempt(now, id, outcome, note == Note::Engaged, report);
@@ -592,7 +595,7 @@
                 // Guards against a link that forgot one: with its connections closed, nothing is out there.
                 self.cut(now, link, |_| true);
             }
-            FromHub::Dead => self.cut(now, link, |call| call.standing),
+            FromHub::Dead => self.cut_standing(now, link, index, "dead"),
             FromHub::Media(name, frame) => {
                 let call = self.at_link(link, name).map(|(_, c)| (c.standing, c.front, c.origin));
                 if let Some((true, front, origin)) = call {
@@ -627,6 +630,7 @@
         call.answered = true;
         self.unanswered -= 1;
         let (front, message) = (call.front, ToFront::Fail(call.origin, call.name));
+        metrics::CALLS_FAILED.increment();
         tracing::debug!(call = %call.name, "failed: released without an answer");
         self.to_front(front, message);
         self.tell(now, Event::Left(id));
@@ -655,6 +659,7 @@
                 let Some(out) = &call.out else { return };
                 let (front, origin, server, copy) = (call.front, call.origin, out.server, out.copy);
                 let took = now - out.sent;
+                metrics::CALLS_ANSWERED.increment();
                 tracing::debug!(call = %name, attempt = out.number, link = link.0, "stands");
                 self.to_front(front, ToFront::Answer(origin, name, description));
                 self.tell(now, Event::Stands(id, server, copy, took));
@@ -679,8 +684,18 @@
         }
     }
 
-    /// What a hub had of these calls is over: its process is dead or gone.
-    fn cut(&mut self, now: Micros, link: LinkId, which: impl Fn(&Call) -> bool) {
+    /// Cuts the calls that stand at a hub whose process is over.
+    fn cut_standing(&mut self, now: Micros, link: LinkId, index: Option<usize>, why: &'static str) {
+        let cut = self.cut(now, link, |call| call.standing);
+        let hub = index.map_or("", |index| &*self.hubs[index].uid);
+        if cut > 0 {
+            tracing::info!(hub, link = link.0, why, cut, "calls cut");
+        }
+    }
+
+    /// What a hub had of these calls is over: its process is dead or gone. How many of them stood.
+    fn cut(&mut self, now: Micros, link: LinkId, which: impl Fn(&Call) -> bool) -> u64 {
+        let mut cut = 0;
         let at = self.at.range((link, CallId(0))..=(link, CallId(u64::MAX)));
         let at: Vec<CallId> = at.map(|(_, id)| *id).collect();
         for id in at {
@@ -688,10 +703,13 @@
             if call.standing {
                 let message = ToFront::Release(Some(call.origin), call.name, Cause::TEMPORARY_FAILURE);
                 self.to_front(call.front, message);
+                cut += 1;
             }
             let outcome = ends::outcome(Seen::Lost, call.standing, call.out.as_ref().and_then(|o| o.ending));
             self.end_attempt(now, id, outcome, false, Report::default());
         }
+        metrics::CALLS_CUT.add(cut);
+        cut
     }
 
     fn at_link(&self, link: LinkId, name: CallName) -> Option<(CallId, &Call)> {
@@ -921,7 +939,8 @@
             self.closing.insert(link);
             self.hubs[index].heard = false;
             // What stood is over. Danger: a set-up is out until its connection is closed; the link says when.
-            self.cut(now, link, |call| call.standing);
+            let why = if self.hubs[index].phase == Phase::Gone { "gone" } else { "replaced" };
+            self.cut_standing(now, link, Some(index), why);
         }
     }
 
@@ -986,6 +1005,7 @@
             || until <= now
             || call.sent >= self.max_attempts
         {
+            tracing::debug!(call = %call.name, hub = %hub.uid, drained, sent = call.sent, "not sent: a rule forbids it");
             return false;
         }
         self.last_attempt += 1;
@@ -1001,7 +1021,9 @@
         if sender.try_send(ToHub::SetUp(set_up)).is_err() {
             return false;
         }
-        tracing::debug!(call = %call.name, attempt = number, link = link.0, hub = %hub.uid, "sent");
+        metrics::ATTEMPTS.increment();
+        metrics::RETRIES.add(u64::from(call.sent > 0));
+        tracing::debug!(call = %call.name, attempt = number, link = link.0, hub = %hub.uid, copy = call.sent, "sent");
         call.out =
             Some(Attempt { link: *link, server, copy: call.sent, number, sent: now, until, ending: None });
         self.at.insert((*link, id));
@@ -1021,8 +1043,14 @@
         let (front, origin, name) = (call.front, call.origin, call.name);
         tracing::debug!(call = %name, refused = matches!(action, Action::Refuse(..)), "answered");
         let message = match action {
-            Action::Refuse(_, away) => ToFront::Refuse(origin, name, away),
-            _ => ToFront::Fail(origin, name),
+            Action::Refuse(_, away) => {
+                metrics::CALLS_REFUSED.increment();
+                ToFront::Refuse(origin, name, away)
+            }
+            _ => {
+                metrics::CALLS_FAILED.increment();
+                ToFront::Fail(origin, name)
+            }
         };
         self.to_front(front, message);
         self.give_up(id, Outcome::Withdrawn);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,7 +4,7 @@
 //! - [`core`]: owns the module, the call table and the timers, and knows no wire.
 //! - [`net`] and [`iax2`]: the sockets' sides, for the platform's protocol and for IAX2.
 //! - [`learning`], [`state`] and [`store`]: what outlives the process, the task that keeps it, and its files.
-//! - [`cli`] and [`telemetry`]: the command line and the logs.
+//! - [`cli`], [`telemetry`] and [`metrics`]: the command line, the logs, and the counters in them.
 //! - [`fleet`]: what session controllers tell one another, where an installation lets them talk.
 //! - [`config`]: the one place where configuration is read, checked and given defaults.
 //! - [`wire`]: the simulator's wire, for the adapter.
@@ -51,6 +51,7 @@
 pub mod interface;
 pub mod learning;
 mod logic;
+pub mod metrics;
 pub mod net;
 pub mod recovery;
 pub mod state;
--- a/src/main.rs
+++ b/src/main.rs
@@ -12,7 +12,7 @@
 use petreldock::net::doors::Doors;
 use petreldock::net::owed::Owed;
 use petreldock::net::{feed, hub, sip_server};
-use petreldock::{state, telemetry};
+use petreldock::{metrics, state, telemetry};
 use std::io;
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -171,6 +171,7 @@
     let (change_log, addresses) = watch::channel(config.change_log);
     tokio::spawn(feed::run(addresses, seq, config.seed, clock, inputs.clone()));
     tokio::spawn(reload(hangup, change_log));
+    tokio::spawn(metrics::report_regularly());
     let sip_config = sip_server::Config {
         id: FrontId(0),
         sockets: config.limits.sockets,
@@ -192,6 +193,7 @@
         if let Some(saved) = keeping {
             hand_over(inputs, clock, saved).await;
         }
+        metrics::report();
     };
     tokio::select! {
         ended = serving => ended,
@@ -273,6 +275,8 @@
             (quiet, looks) = (Instant::now(), 0);
         }
     }
+    let unanswered = status.borrow().unanswered;
+    tracing::info!(unanswered, outstanding = owed.count(), "ended");
 }
 
 #[cfg(test)]
--- a/src/net/hub.rs
+++ b/src/net/hub.rs
@@ -13,6 +13,7 @@
 use crate::config::Limits;
 use crate::core::{CallName, Cause, Clock, FromHub, Input, LinkId, SetUp, ToHub};
 use crate::interface::Micros;
+use crate::metrics;
 use connection::{Connection, Out};
 use messages::take;
 use std::collections::{HashMap, VecDeque};
@@ -305,7 +306,9 @@
                 }
                 self.last_up = now;
                 self.dialled += 1;
-                tracing::debug!(link = self.id.0, connection = self.dialled, "up");
+                metrics::HUB_DIALS.increment();
+                let open = self.connections.len() + 1;
+                tracing::debug!(link = self.id.0, connection = self.dialled, open, "up");
                 let mut queue: VecDeque<Out> =
                     self.parked.drain(..).map(|(_, call, cause)| Out::Release(call, cause)).collect();
                 queue.extend(self.waiting.drain(..).map(Out::SetUp));
@@ -315,7 +318,10 @@
             Err(error) => {
                 // Danger: what a hub said before waits to be read as long as the dial's end, and shows it alive.
                 self.look_again();
-                tracing::debug!(link = self.id.0, %error, waiting = self.waiting.len(), "dial failed");
+                metrics::HUB_DIAL_FAILURES.increment();
+                let (silent_ms, standing) = ((now - self.alive).as_millis() as u64, self.standing.len());
+                let (open, waiting) = (self.connections.len(), self.waiting.len());
+                tracing::debug!(link = self.id.0, %error, waiting, open, silent_ms, standing, "dial failed");
                 let unreachable = |s: SetUp| FromHub::Unreachable(s.call, s.attempt);
                 self.news.extend(self.waiting.drain(..).map(unreachable));
                 self.next_dial = Some(now + self.backoff);
@@ -331,7 +337,7 @@
                 if is_dead(error.kind(), open, failing, now - self.alive)
                     && (open || !self.standing.is_empty())
                 {
-                    self.dead(now);
+                    self.dead(now, &error.to_string());
                 }
             }
         }
@@ -340,7 +346,11 @@
     /// The hub is held to be dead. Danger: a hub that is only cut off still has what is open on its silent
     /// connections, and may run it once it is back. A set-up is over when its connection is closed, not
     /// before, and may have run.
-    fn dead(&mut self, now: Instant) {
+    fn dead(&mut self, now: Instant, why: &str) {
+        metrics::HUBS_DEAD.increment();
+        let (silent_ms, open, standing) =
+            ((now - self.alive).as_millis() as u64, self.connections.len(), self.standing.len());
+        tracing::info!(link = self.id.0, why, silent_ms, open, standing, "hub declared dead");
         self.close_all();
         self.standing.clear();
         self.alive = now;
@@ -390,10 +400,17 @@
         if self.take_in(index) {
             self.lost(index);
         } else if self.connections.get(index).is_some_and(silent) {
-            self.connections.remove(index);
+            self.close_spare(index, "silent");
         }
     }
 
+    /// Closes a connection on which nothing is out or waits.
+    fn close_spare(&mut self, index: usize, why: &'static str) {
+        let connection = self.connections.remove(index);
+        let open = self.connections.len();
+        tracing::debug!(link = self.id.0, connection = connection.id, why, open, "closed");
+    }
+
     /// Danger: an answer that was spoilt, stopped short or never came leaves a connection that stays open
     /// and brings nothing more, not for its other set-ups nor for its calls that stand. It is closed, so
     /// that they are settled, and the hub says on the next one what it had to say.
@@ -445,7 +462,7 @@
             if self.take_in(index) {
                 self.lost(index);
             } else if self.connections.get(index).is_some_and(idle) {
-                self.connections.remove(index);
+                self.close_spare(index, "idle");
             }
         }
     }
@@ -560,7 +577,15 @@
     /// A connection is gone: its set-ups alone are broken, and what had not begun goes on elsewhere.
     fn lost(&mut self, index: usize) {
         let connection = self.connections.remove(index);
-        tracing::debug!(link = self.id.0, connection = connection.id, open = connection.open.len(), "lost");
+        metrics::HUB_CONNECTIONS_LOST.increment();
+        let spoilt = connection.spoilt(Instant::now(), self.answered_begun);
+        tracing::debug!(
+            link = self.id.0,
+            connection = connection.id,
+            open = connection.open.len(),
+            spoilt,
+            "lost"
+        );
         // Danger: a hub that resets what it accepted would be dialled as fast as it can.
         self.resets += u32::from(connection.heard == connection.opened);
         let left = self.settle(connection);
--- a/src/net/sip_server/connection.rs
+++ b/src/net/sip_server/connection.rs
@@ -119,6 +119,8 @@
     };
     let end = connection.run(&stream, &mut commands).await;
     let lingers = matches!(end, End::Ours);
+    let open = connection.open.len();
+    tracing::debug!(connection = number, by_us = lingers, open, "caller's connection ended");
     server.registry().remove(number, lingers);
     commands.close();
     connection.abandon_held().await;
--- a/src/net/sip_server/connection/messages.rs
+++ b/src/net/sip_server/connection/messages.rs
@@ -3,6 +3,7 @@
 use super::{Connection, Open};
 use crate::core::{CallName, Cause, Description, Input, Offer, Origin, ToFront};
 use crate::interface::Micros;
+use crate::metrics;
 use crate::net::sip::{self, Message, Start};
 use crate::net::sip_server::release_tracker::Release;
 use crate::net::sip_server::MAX_OPEN;
@@ -149,6 +150,8 @@
     /// Ends a call that stands towards the caller, and tracks that until it is confirmed.
     pub(super) fn release(&mut self, release: Release) {
         self.used = Instant::now();
+        metrics::RELEASES_SENT.increment();
+        tracing::debug!(call = %release.call, connection = self.number, cause = release.cause.0, "release to the caller");
         let listen = self.server.listen;
         let (id, reason) = (format!("{:016x}", release.call.0), format!("Q.850;cause={}", release.cause.0));
         let via = format!("SIP/2.0/TCP {listen};branch=z9hG4bK{id}bye");
--- a/src/net/sip_server/registry.rs
+++ b/src/net/sip_server/registry.rs
@@ -3,6 +3,7 @@
 use super::release_tracker::Release;
 use super::MAX_OPEN;
 use crate::core::ToFront;
+use crate::metrics;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 use tokio::sync::mpsc;
@@ -127,16 +128,26 @@
         }
         // The oldest come first.
         while self.parked.front().is_some_and(|(since, _)| since.elapsed() >= PARKED_FOR) {
-            self.parked.pop_front();
+            let lost = self.parked.pop_front();
+            metrics::RELEASES_LOST.increment();
+            if let Some((_, release)) = lost {
+                tracing::warn!(call = %release.call, "release lost: no caller connected");
+            }
         }
+        tracing::debug!(call = %release.call, parked = self.parked.len(), "release parked: no caller connected");
         if self.parked.len() < MAX_PARKED {
             self.parked.push_back((Instant::now(), release));
+        } else {
+            metrics::RELEASES_LOST.increment();
         }
     }
 
     /// Sends a release that was swallowed on another connection, if there is one that seems to live.
     pub fn repeat(&mut self, release: Release) -> bool {
-        self.release_on(&release, |entry| !entry.is_silent && !entry.is_full)
+        let sent = self.release_on(&release, |entry| !entry.is_silent && !entry.is_full);
+        metrics::RELEASES_REPEATED.add(u64::from(sent));
+        tracing::debug!(call = %release.call, tried = ?release.tried, sent, "release repeated");
+        sent
     }
 
     /// Sends a release on one of these connections that did not swallow it before: best on one that is not
