--- a/tests/common/script.rs
+++ b/tests/common/script.rs
@@ -7,6 +7,7 @@
 use petreldock::net::binary::{self, code, kind};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::time::Duration;
 
 /// One connection to a [`ScriptedHub`], as its hub sees it.
 pub struct Link {
@@ -42,6 +43,28 @@
         ScriptedHub { listener, address, links: Vec::new(), sent: Vec::new() }
     }
 
+    /// One whose accept queue holds a single connection.
+    pub fn with_short_queue() -> ScriptedHub {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        let listener = runtime.block_on(async {
+            let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+            socket.bind("127.0.0.1:0".parse().expect("an address")).expect("bound");
+            socket.listen(1).expect("listens").into_std().expect("handed over")
+        });
+        listener.set_nonblocking(true).expect("set");
+        let address = listener.local_addr().expect("an address");
+        ScriptedHub { listener, address, links: Vec::new(), sent: Vec::new() }
+    }
+
+    /// Fills the accept queue of a hub that has a short one: no further connection comes up till it is emptied.
+    pub fn fill_queue(&self) -> Vec<TcpStream> {
+        let mut filling = Vec::new();
+        while let Ok(stream) = TcpStream::connect_timeout(&self.address, Duration::from_millis(300)) {
+            filling.push(stream);
+        }
+        filling
+    }
+
     /// One whose connections take little before it reads.
     pub fn narrow() -> ScriptedHub {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
--- a/tests/departed.rs
+++ b/tests/departed.rs
@@ -15,7 +15,7 @@
 use petreldock::net::binary::{code, kind};
 use script::*;
 use std::io::Write;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
@@ -487,28 +487,6 @@
 
 // ---- during a dial ----
 
-/// A listener whose accept queue holds one.
-fn short_queue() -> ScriptedHub {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    let listener: TcpListener = runtime.block_on(async {
-        let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
-        socket.bind("127.0.0.1:0".parse().expect("an address")).expect("bound");
-        socket.listen(1).expect("listens").into_std().expect("handed over")
-    });
-    listener.set_nonblocking(true).expect("set");
-    let address = listener.local_addr().expect("an address");
-    ScriptedHub { listener, address, links: Vec::new(), sent: Vec::new() }
-}
-
-/// Fills a hub's accept queue: nothing further comes up till it is emptied.
-fn fill(hub: &ScriptedHub) -> Vec<TcpStream> {
-    let mut filling = Vec::new();
-    while let Ok(stream) = TcpStream::connect_timeout(&hub.address, Duration::from_millis(300)) {
-        filling.push(stream);
-    }
-    filling
-}
-
 /// Waits till a connection of the program is up at a hub, besides those that filled its queue.
 fn dial_comes_up(hub: &mut ScriptedHub, filling: &[TcpStream]) {
     let own: Vec<SocketAddr> = filling.iter().map(|s| s.local_addr().expect("an address")).collect();
@@ -523,8 +501,8 @@
 /// Callers leave while the hub is dialled. `further`: their first attempts were broken with the hub's connections.
 /// `starved`: the program gets no time till both the departures and the dial are in its sockets, in that order.
 fn leave_during_a_dial(further: bool, starved: Option<Order>) {
-    let mut hubs = [short_queue()];
-    let mut filling = if further { Vec::new() } else { fill(&hubs[0]) };
+    let mut hubs = [ScriptedHub::with_short_queue()];
+    let mut filling = if further { Vec::new() } else { hubs[0].fill_queue() };
     let program = started(&[hubs[0].target(0)], patient);
     let mut early = further.then(|| EarlyCall::set_up(&program, &mut hubs[0], 0, 0x9000));
     let mut all = parties(&program, 0x100);
@@ -532,7 +510,7 @@
     if let Some(early) = &mut early {
         all.iter().for_each(|p| drop(hubs[0].set_up(p.call, 1)));
         early.is_answered(&program, &mut hubs[0]);
-        filling = fill(&hubs[0]);
+        filling = hubs[0].fill_queue();
         break_all(&program, &mut hubs[0]);
     }
     let before = usize::from(further);
--- a/tests/ends.rs
+++ b/tests/ends.rs
@@ -274,29 +274,11 @@
     assert_eq!((hub.set_ups(0x20), hub.set_ups(0x21)), (1, 1));
 }
 
-/// A listener whose queue is full, and what fills it: no further connection comes up till it is emptied.
-fn shut() -> (TcpListener, Vec<TcpStream>) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    let listener = runtime.block_on(async {
-        let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
-        socket.bind("127.0.0.1:0".parse().expect("an address")).expect("bound");
-        socket.listen(1).expect("listens").into_std().expect("handed over")
-    });
-    let address = listener.local_addr().expect("an address");
-    let mut filling = Vec::new();
-    while let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_millis(300)) {
-        filling.push(stream);
-    }
-    listener.set_nonblocking(true).expect("set");
-    (listener, filling)
-}
-
 #[test]
 fn a_call_whose_caller_leaves_while_the_hub_is_dialled_is_not_sent_once_it_is_up() {
     let _quiet = quiet();
-    let (listener, filling) = shut();
-    let address = listener.local_addr().expect("an address");
-    let mut hub = ScriptedHub { listener, address, links: Vec::new(), sent: Vec::new() };
+    let mut hub = ScriptedHub::with_short_queue();
+    let filling = hub.fill_queue();
     // A dial may come up late: here, as soon as the queue is emptied and the kernel has tried again.
     let patient = |text: String| text.replace("\"dialTimeout\":500000", "\"dialTimeout\":15000000");
     let program = Program::changed(&[hub.target(0)], None, patient);
@@ -368,10 +350,10 @@
 #[test]
 fn a_dial_that_never_comes_up_holds_up_no_call_that_another_hub_can_take() {
     let _quiet = quiet();
-    let (listener, _filling) = shut();
-    let shut = site::target("s-0", &listener.local_addr().expect("an address").to_string(), 0, "in_service");
+    let unreachable = ScriptedHub::with_short_queue();
+    let _filling = unreachable.fill_queue();
     let mut hub = ScriptedHub::new();
-    let program = Program::start(&[shut, hub.target(1)], None, None);
+    let program = Program::start(&[unreachable.target(0), hub.target(1)], None, None);
     let mut caller = Caller::connect(program.address);
     caller.invite(0x40, 15_000, 0);
     let set_up = hub.set_up(0x40, 1);
--- /dev/null
+++ b/tests/silent_hubs.rs
@@ -0,0 +1,173 @@
+//! Table hubs that stop in the middle of their work, on the started program: their connections stay open and say
+//! nothing more, and new ones hang, are refused, come up in silence or end at once. The calls that stand there are
+//! over, and each has to be released towards its caller within 8 s (PROTOCOL, 'The rules on sockets').
+
+#[path = "common/peers.rs"]
+mod peers;
+#[path = "common/script.rs"]
+mod script;
+#[path = "common/site.rs"]
+mod site;
+
+use peers::*;
+use petreldock::net::binary::{code, kind};
+use script::*;
+use std::net::TcpListener;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+/// Within this a call that is over is released, if its hub could not say so.
+const RELEASE_RULE: Duration = Duration::from_secs(8);
+/// Connections to one hub at most.
+const MAX_CONNECTIONS: usize = 4;
+/// Longer than one set-up may be begun before another without being taken for overtaken.
+const APART: Duration = Duration::from_millis(50);
+/// The call that stands when its hub falls silent.
+const CALL: u64 = 0xa0;
+
+fn start(hub: &ScriptedHub) -> Program {
+    let debug = Some(r#"{"log":{"level":"debug"}}"#);
+    Program::launch(any_address(), &[hub.target(0)], None, debug, 1024, unhurried)
+}
+
+fn say_state(hub: &mut ScriptedHub, link: usize) {
+    hub.say(link, kind::STATE, 0, &[(code::REPORT, b"x0:190;x1:200;qps:50")]);
+}
+
+/// Waits until the hub has so many connections, and says its state on each new one.
+fn connected(hub: &mut ScriptedHub, count: usize) {
+    let known = hub.links.len();
+    until(&format!("{count} connections"), || {
+        hub.take_in();
+        (hub.links.len() >= count).then_some(())
+    });
+    (known..hub.links.len()).for_each(|link| say_state(hub, link));
+}
+
+fn stand(hub: &mut ScriptedHub, caller: &mut Caller, call: u64) -> Sent {
+    caller.invite(call, 100_000, 0);
+    let set_up = hub.set_up(call, 1);
+    hub.answer(&set_up);
+    assert_eq!(status(caller, call), 200);
+    set_up
+}
+
+/// A program, its hub with two connections, and a caller whose call stands there.
+fn standing(mut hub: ScriptedHub) -> (Program, ScriptedHub, Caller) {
+    let program = start(&hub);
+    connected(&mut hub, 2);
+    let mut caller = Caller::connect(program.address);
+    stand(&mut hub, &mut caller, CALL);
+    (program, hub, caller)
+}
+
+/// Leaves set-ups without an answer until the program has opened all the connections that it may.
+fn open_all_connections(hub: &mut ScriptedHub, caller: &mut Caller) -> Vec<Sent> {
+    let mut unanswered = Vec::new();
+    while hub.links.len() < MAX_CONNECTIONS {
+        // One on each connection, so that none of them is spare.
+        for _ in 0..hub.links.len() {
+            let call = 0x100 + unanswered.len() as u64;
+            caller.invite(call, 100_000, 0);
+            unanswered.push(hub.set_up(call, 1));
+            sleep(APART);
+        }
+        connected(hub, hub.links.len() + 1);
+    }
+    unanswered
+}
+
+/// Waits for the release of the call, which is over since `since`; `meanwhile` is what the hub's machine does.
+fn is_released(caller: &mut Caller, since: Instant, mut meanwhile: impl FnMut()) {
+    until("the release of a call that is over", || {
+        meanwhile();
+        caller.take_in();
+        caller.said.contains(&Said::Bye(CALL, 41)).then_some(())
+    });
+    let took = since.elapsed();
+    assert!(took < RELEASE_RULE, "released after {took:?}");
+}
+
+#[test]
+fn calls_at_a_hub_that_vanished_are_released_in_time() {
+    let (_program, hub, mut caller) = standing(ScriptedHub::with_short_queue());
+    let since = Instant::now();
+    let _filling = hub.fill_queue();
+    is_released(&mut caller, since, || ());
+}
+
+#[test]
+fn calls_at_a_hub_that_vanished_with_all_connections_open_are_released_in_time() {
+    let (_program, mut hub, mut caller) = standing(ScriptedHub::with_short_queue());
+    for set_up in open_all_connections(&mut hub, &mut caller) {
+        hub.answer(&set_up);
+        assert_eq!(status(&mut caller, set_up.call), 200);
+    }
+    let since = Instant::now();
+    let _filling = hub.fill_queue();
+    is_released(&mut caller, since, || ());
+}
+
+#[test]
+fn calls_at_a_hub_that_vanished_with_set_ups_out_on_all_connections_are_released_in_time() {
+    let (_program, mut hub, mut caller) = standing(ScriptedHub::with_short_queue());
+    let _unanswered = open_all_connections(&mut hub, &mut caller);
+    let since = Instant::now();
+    let _filling = hub.fill_queue();
+    is_released(&mut caller, since, || ());
+}
+
+#[test]
+fn calls_at_a_hub_whose_process_hangs_are_released_in_time() {
+    // Its kernel goes on accepting connections.
+    let (_program, _hub, mut caller) = standing(ScriptedHub::new());
+    is_released(&mut caller, Instant::now(), || ());
+}
+
+#[test]
+fn calls_at_a_hub_that_refuses_connections_beside_silent_ones_are_released_in_time() {
+    let (_program, mut hub, mut caller) = standing(ScriptedHub::new());
+    hub.listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    is_released(&mut caller, Instant::now(), || ());
+}
+
+#[test]
+fn calls_at_a_hub_that_ends_each_new_connection_are_released_in_time() {
+    let (_program, hub, mut caller) = standing(ScriptedHub::new());
+    is_released(&mut caller, Instant::now(), || while hub.listener.accept().is_ok() {});
+}
+
+/// Has the hub say its state on each new connection for so long.
+fn tell_state_when_dialled(hub: &mut ScriptedHub, time: Duration) {
+    let since = Instant::now();
+    while since.elapsed() < time {
+        let known = hub.links.len();
+        hub.take_in();
+        (known..hub.links.len()).for_each(|link| say_state(hub, link));
+        sleep(Duration::from_millis(5));
+    }
+}
+
+/// The hub ends the call, on the connection that came up last, and the caller hears of it.
+fn ends_as_usual(mut hub: ScriptedHub, mut caller: Caller) {
+    hub.take_in();
+    let last = hub.links.iter().rposition(|link| link.open).expect("a connection");
+    hub.say(last, kind::RELEASE, CALL, &[(code::CAUSE, &[16])]);
+    caller.wait_for("its end", |said| matches!(said, Said::Bye(CALL, _)));
+    assert!(caller.said.contains(&Said::Bye(CALL, 16)), "released while it stood: {:?}", caller.said);
+}
+
+#[test]
+fn calls_at_a_hub_that_has_nothing_to_say_go_on_as_long_as_it_tells_its_state_when_dialled() {
+    let (_program, mut hub, caller) = standing(ScriptedHub::new());
+    tell_state_when_dialled(&mut hub, 2 * RELEASE_RULE);
+    ends_as_usual(hub, caller);
+}
+
+#[test]
+fn calls_at_a_hub_that_hangs_for_a_moment_go_on() {
+    let (_program, mut hub, caller) = standing(ScriptedHub::new());
+    sleep(Duration::from_secs(5));
+    tell_state_when_dialled(&mut hub, RELEASE_RULE);
+    ends_as_usual(hub, caller);
+}
