Take only a hub's own words for a sign of life, and hold a mute one to be dead

Cause: the link took a connection that came up for a sign of life (net/hub.rs, dialled: alive = now), and only a dial that failed could show a hub to be dead. The kernel of a machine accepts for a process that hangs, and so does an accept queue that is not full yet; the calls stood until the list told the hub gone, 14 s later. Change: net/hub/liveness judges a hub by the clock, from what was read. A hub says its state first on each new connection (PROTOCOL), so a connection that came up is a question. Where calls stand, a question open for 1.5 s and 6.5 s of silence in all end the hub's connections and calls, in time for the 8 s rule with a release that has to be repeated. Dials that time out show it after 4.5 s, as before. The class of bug: liveness concluded from an event that need not come, or that the kernel makes, in place of a deadline.

--- a/src/net/hub.rs
+++ b/src/net/hub.rs
@@ -4,6 +4,7 @@
 //! that stops reading blocks no other. What the link tells the core, it tells in the hub's order.
 
 mod connection;
+mod liveness;
 mod messages;
 
 use super::binary::{self, kind, Message};
@@ -15,6 +16,7 @@
 use crate::interface::Micros;
 use crate::metrics;
 use connection::{Connection, Out};
+use liveness::Liveness;
 use messages::take;
 use std::collections::{HashMap, VecDeque};
 use std::future::poll_fn;
@@ -51,12 +53,8 @@
 const BACKOFF: Duration = Duration::from_millis(100);
 /// ... up to this.
 const BACKOFF_MOST: Duration = Duration::from_secs(1);
-/// No connection for this long, and none refused: the machine has vanished, and its calls are cut.
-const VANISHED: Duration = Duration::from_millis(2_500);
 /// A hub that has calls and said nothing for this long is dialled, to see whether it is there.
 const QUIET: Duration = Duration::from_secs(3);
-/// ... and has vanished if nothing comes up either once it was quiet for this long.
-const QUIET_MOST: Duration = Duration::from_millis(4_500);
 /// Releases of calls that stand are looked for on a new connection, if the connection of their set-up has been
 /// silent, or gone, and no other has come up for this long. A hub repeats on the next connection what it could not
 /// tell, and within 8 s of its end a call must be released (PROTOCOL, 'The rules on sockets').
@@ -88,10 +86,8 @@
     standing: HashMap<CallName, u64>,
     not_after: Option<Micros>,
     next_dial: Option<Instant>,
-    /// When the hub last gave a sign of life.
-    alive: Instant,
+    liveness: Liveness,
     backoff: Duration,
-    failing_since: Option<Instant>,
     dialled: u64,
     /// When the latest connection came up: what the hub had to say by then, it said there.
     last_up: Instant,
@@ -127,9 +123,8 @@
         standing: HashMap::new(),
         not_after: None,
         next_dial: Some(Instant::now()),
-        alive: Instant::now(),
+        liveness: Liveness::new(Instant::now()),
         backoff: BACKOFF,
-        failing_since: None,
         dialled: 0,
         last_up: Instant::now(),
         resets: 0,
@@ -292,9 +287,7 @@
         let now = Instant::now();
         match dialled {
             Ok((stream, door)) => {
-                self.alive = now;
                 self.backoff = BACKOFF;
-                self.failing_since = None;
                 self.next_dial = None;
                 if self.connections.len() >= self.kept().max(1)
                     && !self.owes_answers(now)
@@ -305,6 +298,7 @@
                     return;
                 }
                 self.last_up = now;
+                self.liveness.dial_came_up(now);
                 self.dialled += 1;
                 metrics::HUB_DIALS.increment();
                 let open = self.connections.len() + 1;
@@ -319,24 +313,18 @@
                 // Danger: what a hub said before waits to be read as long as the dial's end, and shows it alive.
                 self.look_again();
                 metrics::HUB_DIAL_FAILURES.increment();
-                let (silent_ms, standing) = ((now - self.alive).as_millis() as u64, self.standing.len());
+                let (silent_ms, standing) =
+                    (self.liveness.silence(now).as_millis() as u64, self.standing.len());
                 let (open, waiting) = (self.connections.len(), self.waiting.len());
                 tracing::debug!(link = self.id.0, %error, waiting, open, silent_ms, standing, "dial failed");
                 let unreachable = |s: SetUp| FromHub::Unreachable(s.call, s.attempt);
                 self.news.extend(self.waiting.drain(..).map(unreachable));
                 self.next_dial = Some(now + self.backoff);
                 self.backoff = (self.backoff * 2).min(BACKOFF_MOST);
-                // Danger: where no descriptor was left, nothing was dialled, and the hub may be well.
-                let failing = match error.kind() {
-                    doors::NONE_LEFT => Duration::ZERO,
-                    _ => now - *self.failing_since.get_or_insert(now),
-                };
                 let open = !self.connections.is_empty();
                 // Danger: a process that died takes its calls with it, and nobody else tells. A refused
                 // connection proves that it is gone; a machine that vanished refuses nothing.
-                if is_dead(error.kind(), open, failing, now - self.alive)
-                    && (open || !self.standing.is_empty())
-                {
+                if self.liveness.dial_failed(now, error.kind(), open) && (open || !self.standing.is_empty()) {
                     self.dead(now, &error.to_string());
                 }
             }
@@ -348,15 +336,26 @@
     /// before, and may have run.
     fn dead(&mut self, now: Instant, why: &str) {
         metrics::HUBS_DEAD.increment();
-        let (silent_ms, open, standing) =
-            ((now - self.alive).as_millis() as u64, self.connections.len(), self.standing.len());
+        let silent_ms = self.liveness.silence(now).as_millis() as u64;
+        let (open, standing) = (self.connections.len(), self.standing.len());
         tracing::info!(link = self.id.0, why, silent_ms, open, standing, "hub declared dead");
         self.close_all();
         self.standing.clear();
-        self.alive = now;
+        self.liveness = Liveness::new(now);
         self.news.push(FromHub::Dead);
     }
 
+    /// Holds the hub to be dead where calls stand there and it answers nothing.
+    fn end_unresponsive(&mut self, now: Instant) {
+        if self.standing.is_empty() || !self.liveness.is_unresponsive(now) {
+            return;
+        }
+        self.look_again();
+        if self.liveness.is_unresponsive(now) && !self.standing.is_empty() {
+            self.dead(now, "unresponsive");
+        }
+    }
+
     /// Closes all connections and settles all set-ups: what has begun may have run, the rest never did.
     fn close_all(&mut self) {
         let mut never: Vec<SetUp> = self.waiting.drain(..).collect();
@@ -444,8 +443,10 @@
             self.redial();
         }
         self.parked.retain(|(since, ..)| now - *since < RELEASE_KEPT);
+        self.end_unresponsive(now);
         // Danger: a machine that vanished or is cut off says nothing, and its connections stay open.
-        let quiet = !self.standing.is_empty() && now - self.alive >= QUIET;
+        let quiet =
+            !self.standing.is_empty() && self.liveness.silence(now) >= QUIET && now - self.last_up >= QUIET;
         if !self.connections.is_empty() && (quiet || self.owes_answers(now) || self.has_silent_carrier(now)) {
             self.dial();
         }
@@ -482,7 +483,7 @@
             match connection.input.fill(&connection.stream) {
                 Ok(count) if count > 0 => {
                     connection.heard = Instant::now();
-                    self.alive = connection.heard;
+                    self.liveness.heard(connection.heard);
                     self.resets = 0;
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return false,
@@ -645,19 +646,6 @@
     }
 }
 
-/// Whether a failed dial shows that the hub's process is dead. A refusal proves it, unless a connection
-/// is open: a hub that drains may have closed its door alone. A dial that got no answer shows it after a
-/// while. Danger: an error of our own, such as having no descriptor left, shows nothing of the hub.
-fn is_dead(error: io::ErrorKind, open: bool, failing: Duration, quiet: Duration) -> bool {
-    use io::ErrorKind::{ConnectionRefused, HostUnreachable, NetworkUnreachable, TimedOut};
-    match error {
-        ConnectionRefused => !open,
-        TimedOut | HostUnreachable | NetworkUnreachable if open => quiet >= QUIET_MOST,
-        TimedOut | HostUnreachable | NetworkUnreachable => failing >= VANISHED,
-        _ => false,
-    }
-}
-
 fn poll_connections(connections: &[Connection], cx: &mut Context<'_>) -> Poll<usize> {
     for (index, connection) in connections.iter().enumerate() {
         let readable = connection.stream.poll_read_ready(cx).is_ready();
@@ -668,6 +656,3 @@
     }
     Poll::Pending
 }
-
-#[cfg(test)]
-mod tests;
