Ask whether a silent hub is there also where all connections to it are open

Callers saw calls left standing at a hub that had vanished. Cause: the link asks whether a silent hub is there by dialling (net/hub.rs, look), and dials nothing while four connections are open, so that no dial could fail: the hub was never held to be dead. Change: the dial takes the place of a connection that is silent and spare; where none is spare, each has a set-up to which the hub owes an answer, and that is the question whose time is limited.

--- a/src/net/hub.rs
+++ b/src/net/hub.rs
@@ -386,6 +386,18 @@
         self.standing.values().any(|id| now - heard_at(id) >= CARRIER_SILENT)
     }
 
+    /// Asks whether the hub is there: dials, if need be in place of a connection that is silent and spare. Where all
+    /// are open and none is spare, each has a set-up to which the hub owes an answer.
+    fn ask(&mut self, now: Instant) {
+        if self.connections.len() >= CONNECTIONS {
+            self.close_silent(now);
+        }
+        if self.connections.len() >= CONNECTIONS {
+            self.liveness.asked(now);
+        }
+        self.dial();
+    }
+
     /// Closes the connection that has been silent for longest, if there is one to spare and it owes nothing: calls
     /// that stand belong to no connection.
     fn close_silent(&mut self, now: Instant) {
@@ -448,7 +460,7 @@
         let quiet =
             !self.standing.is_empty() && self.liveness.silence(now) >= QUIET && now - self.last_up >= QUIET;
         if !self.connections.is_empty() && (quiet || self.owes_answers(now) || self.has_silent_carrier(now)) {
-            self.dial();
+            self.ask(now);
         }
         let spare_most = self.connections.len().saturating_sub(self.kept());
         // Danger: with more hubs than descriptors, what is idle here is missing elsewhere.
--- a/src/net/hub/liveness.rs
+++ b/src/net/hub/liveness.rs
@@ -47,6 +47,11 @@
     /// A connection came up: the hub has to say its state on it.
     pub(super) fn dial_came_up(&mut self, now: Instant) {
         self.failing_since = None;
+        self.asked(now);
+    }
+
+    /// The hub owes a word from now on.
+    pub(super) fn asked(&mut self, now: Instant) {
         self.asked.get_or_insert(now);
     }
 
