Hold a hub to be dead that refuses connections and answers no test on silent ones

Callers saw calls left standing. Cause: a refused dial showed a hub to be dead only where no connection was open (net/hub.rs, is_dead), because a hub that drains may have closed its listener and go on with its calls; beside connections that stay open and silent it proved nothing, however long that lasted. Change: where dials are refused and the hub has been silent for 3 s with calls standing, a test message (type 52, PROTOCOL, 'Messages') goes out on the open connections, once for each silence, if the settings' mayProbe allows it (read by config now, off where it is absent). Its answer is a sign of life; without one the silence is limited to 6.5 s. Without leave to probe, only a hub that was told to drain is let be.

--- a/src/config.rs
+++ b/src/config.rs
@@ -253,6 +253,8 @@
     pub description_bytes: usize,
     /// File descriptors this process may hold.
     pub sockets: usize,
+    /// Hubs may be sent test messages.
+    pub may_probe: bool,
 }
 
 /// An IAX2 hub of the operator's file: always in service until the file changes.
@@ -510,6 +512,7 @@
                 max_open: limits.key("maxOpen").or(20_000, At::count)?.max(1) as usize,
                 description_bytes: given.key("memory_mb").or(192, At::count)? as usize * MEBIBYTE / 4,
                 sockets: given.key("sockets").or(1024, At::count)?.max(64) as usize,
+                may_probe: limits.key("mayProbe").or(false, At::flag)?,
             },
             settings,
             names,
--- a/src/net/hub.rs
+++ b/src/net/hub.rs
@@ -322,6 +322,9 @@
                 self.next_dial = Some(now + self.backoff);
                 self.backoff = (self.backoff * 2).min(BACKOFF_MOST);
                 let open = !self.connections.is_empty();
+                if open && error.kind() == io::ErrorKind::ConnectionRefused {
+                    self.test_connections(now);
+                }
                 // Danger: a process that died takes its calls with it, and nobody else tells. A refused
                 // connection proves that it is gone; a machine that vanished refuses nothing.
                 if self.liveness.dial_failed(now, error.kind(), open) && (open || !self.standing.is_empty()) {
@@ -398,6 +401,22 @@
         self.dial();
     }
 
+    /// Asks on the connections that are open, where a new one is refused: a hub that drains may have closed its listener
+    /// and go on with its calls, but it answers. Without leave to ask, a hub in service that refuses connections
+    /// and says nothing owes a word all the same.
+    fn test_connections(&mut self, now: Instant) {
+        let silent = !self.standing.is_empty() && self.liveness.silence(now) >= QUIET;
+        if !silent || self.liveness.is_asked() {
+            return;
+        }
+        if self.limits.may_probe {
+            self.connections.iter_mut().for_each(|c| c.queue.push_back(Out::Test));
+        }
+        if self.limits.may_probe || self.not_after.is_none() {
+            self.liveness.asked(now);
+        }
+    }
+
     /// Closes the connection that has been silent for longest, if there is one to spare and it owes nothing: calls
     /// that stand belong to no connection.
     fn close_silent(&mut self, now: Instant) {
@@ -608,7 +627,7 @@
                 Out::SetUp(set_up) => self.command(ToHub::SetUp(set_up)),
                 Out::Release(call, cause) => self.command(ToHub::Release(call, cause)),
                 // The set-up was broken just now.
-                Out::GiveUp(..) | Out::Heard(_) => {}
+                Out::GiveUp(..) | Out::Heard(_) | Out::Test => {}
             }
         }
     }
--- a/src/net/hub/connection.rs
+++ b/src/net/hub/connection.rs
@@ -21,6 +21,8 @@
 /// A set-up given up after this, with nothing heard since it began, makes its connection suspect. Danger: the
 /// module calls off what it sees overtaken, and the connection would look as if it owed nothing.
 const SUSPECT: Duration = Duration::from_millis(100);
+/// What a test message, which concerns no call, has in place of one.
+const NO_CALL: u64 = 0;
 /// This much is written at once; the rest can still be taken back.
 const BATCH: usize = 16 * 1024;
 
@@ -30,6 +32,7 @@
     GiveUp(CallName, u64),
     Release(CallName, Cause),
     Heard(CallName),
+    Test,
 }
 
 /// A set-up on a connection, from its first byte on.
@@ -166,6 +169,7 @@
             Out::GiveUp(call, _) => release(&mut self.output, *call, Cause::NORMAL),
             Out::Release(call, cause) => release(&mut self.output, *call, *cause),
             Out::Heard(call) => binary::write(&mut self.output, kind::RELEASE_HEARD, call.0, &[]),
+            Out::Test => binary::write(&mut self.output, kind::TEST, NO_CALL, &[(code::CAUSE, &[0])]),
         };
         match (fits, out) {
             (true, out) => self.staged.push_back((self.output.len() - before, out)),
--- a/src/net/hub/liveness.rs
+++ b/src/net/hub/liveness.rs
@@ -2,7 +2,7 @@
 //!
 //! | what happened to a dial | no connection is open | connections are open and silent |
 //! | --- | --- | --- |
-//! | refused | dead at once | not judged by this alone: a hub that drains may have closed its listener |
+//! | refused | dead at once | dead after [`MAX_SILENCE`], with a test message unanswered: one that drains may only have closed its listener |
 //! | timed out, unreachable | dead after [`MAX_FAILING`] of such dials | dead after [`MAX_SILENCE_UNREACHABLE`] |
 //! | came up, and the hub does not speak on it | dead after [`MAX_SILENCE`] | dead after [`MAX_SILENCE`] |
 //!
@@ -55,6 +55,11 @@
         self.asked.get_or_insert(now);
     }
 
+    /// Whether it owes a word.
+    pub(super) fn is_asked(&self) -> bool {
+        self.asked.is_some()
+    }
+
     /// Whether a dial that failed shows that the hub is dead. `open`: connections are open. Danger: an error of our
     /// own, such as having no descriptor left, shows nothing of the hub.
     pub(super) fn dial_failed(&mut self, now: Instant, error: io::ErrorKind, open: bool) -> bool {
--- a/tests/common/site.rs
+++ b/tests/common/site.rs
@@ -9,7 +9,7 @@
     "idempotency":"free","lateWorth":0.2,"worth":1.0}],"contract":{"coldFrom":0.3,"warmUp":14000000,
     "overloadFactor":3.0,"overloadFor":1000000,"drainGrace":2000000},"familyInfo":{"allowedPools":[[0,1]],
     "classHold":[8000000],"release":200000,"resend":500000,"networkForm":"pools"},"limits":{"maxAttempts":6,
-    "cancel":true,"dialTimeout":500000,"retryAfter":true,"maxRetryAfter":2000000},
+    "cancel":true,"mayProbe":true,"dialTimeout":500000,"retryAfter":true,"maxRetryAfter":2000000},
     "report":{"names":["free","size","can_take"],"via":"piggyback"}}"#;
 
 /// A hub of the change log.
--- a/tests/silent_hubs.rs
+++ b/tests/silent_hubs.rs
@@ -25,11 +25,6 @@
 /// The call that stands when its hub falls silent.
 const CALL: u64 = 0xa0;
 
-fn start(hub: &ScriptedHub) -> Program {
-    let debug = Some(r#"{"log":{"level":"debug"}}"#);
-    Program::launch(any_address(), &[hub.target(0)], None, debug, 1024, unhurried)
-}
-
 fn say_state(hub: &mut ScriptedHub, link: usize) {
     hub.say(link, kind::STATE, 0, &[(code::REPORT, b"x0:190;x1:200;qps:50")]);
 }
@@ -53,14 +48,25 @@
 }
 
 /// A program, its hub with two connections, and a caller whose call stands there.
-fn standing(mut hub: ScriptedHub) -> (Program, ScriptedHub, Caller) {
-    let program = start(&hub);
+fn standing(hub: ScriptedHub) -> (Program, ScriptedHub, Caller) {
+    standing_with(hub, unhurried)
+}
+
+fn standing_with(mut hub: ScriptedHub, change: impl Fn(String) -> String) -> (Program, ScriptedHub, Caller) {
+    let debug = Some(r#"{"log":{"level":"debug"}}"#);
+    let program = Program::launch(any_address(), &[hub.target(0)], None, debug, 1024, change);
     connected(&mut hub, 2);
     let mut caller = Caller::connect(program.address);
     stand(&mut hub, &mut caller, CALL);
     (program, hub, caller)
 }
 
+/// Has the hub refuse further connections.
+fn close_listener(hub: &mut ScriptedHub) {
+    hub.listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    hub.listener.set_nonblocking(true).expect("set");
+}
+
 /// Leaves set-ups without an answer until the program has opened all the connections that it may.
 fn open_all_connections(hub: &mut ScriptedHub, caller: &mut Caller) -> Vec<Sent> {
     let mut unanswered = Vec::new();
@@ -126,9 +132,38 @@
 
 #[test]
 fn calls_at_a_hub_that_refuses_connections_beside_silent_ones_are_released_in_time() {
-    let (_program, mut hub, mut caller) = standing(ScriptedHub::new());
-    hub.listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    is_released(&mut caller, Instant::now(), || ());
+    for may_probe in [true, false] {
+        let change =
+            |text: String| unhurried(text).replace("\"mayProbe\":true", &format!("\"mayProbe\":{may_probe}"));
+        let (_program, mut hub, mut caller) = standing_with(ScriptedHub::new(), change);
+        close_listener(&mut hub);
+        is_released(&mut caller, Instant::now(), || ());
+        hub.take_in();
+        assert_eq!(
+            hub.sent.iter().any(|sent| sent.kind == kind::TEST),
+            may_probe,
+            "tested where that is allowed"
+        );
+    }
+}
+
+#[test]
+fn calls_at_a_hub_that_has_closed_its_listener_and_answers_tests_go_on() {
+    let (_program, mut hub, caller) = standing(ScriptedHub::new());
+    close_listener(&mut hub);
+    let since = Instant::now();
+    let mut answered = 0;
+    while since.elapsed() < 2 * RELEASE_RULE {
+        hub.take_in();
+        let tests: Vec<Sent> = hub.sent.iter().filter(|sent| sent.kind == kind::TEST).cloned().collect();
+        for test in tests.iter().skip(answered) {
+            hub.say(test.link, kind::TESTED, test.call, &[(code::CAUSE, &[1])]);
+        }
+        answered = tests.len();
+        sleep(Duration::from_millis(5));
+    }
+    assert!(answered > 0, "it was asked");
+    ends_as_usual(hub, caller);
 }
 
 #[test]
