Let a link find out whether a silent hub is there when descriptors are used up

Found on the paths related to the incident: where the connections to hubs have used up their descriptors, the dial that asks whether a silent hub is there fails by 'resource busy', which rightly proves nothing; so the hub was never held to be dead, and calls that stood there were left.

--- a/src/net/hub.rs
+++ b/src/net/hub.rs
@@ -266,7 +266,8 @@
         if self.dials.is_empty() && self.connections.len() < CONNECTIONS {
             self.next_dial = None;
             let (address, limit) = (self.address, self.limits.dial_timeout);
-            let door = self.doors.open(!self.waiting.is_empty() || !self.parked.is_empty());
+            let silent = self.is_silent_with_calls(Instant::now());
+            let door = self.doors.open(!self.waiting.is_empty() || !self.parked.is_empty() || silent);
             self.dials.spawn(async move {
                 let address = address.ok_or(io::ErrorKind::InvalidInput)?;
                 let door = door.await?;
@@ -307,7 +308,7 @@
                     self.parked.drain(..).map(|(_, call, cause)| Out::Release(call, cause)).collect();
                 queue.extend(self.waiting.drain(..).map(Out::SetUp));
                 self.connections.push(Connection::new(self.dialled, stream, queue, door, now));
-                self.close_silent(now);
+                self.close_silent(now, self.kept().max(1));
             }
             Err(error) => {
                 // Danger: what a hub said before waits to be read as long as the dial's end, and shows it alive.
@@ -322,8 +323,8 @@
                 self.next_dial = Some(now + self.backoff);
                 self.backoff = (self.backoff * 2).min(BACKOFF_MOST);
                 let open = !self.connections.is_empty();
-                if open && error.kind() == io::ErrorKind::ConnectionRefused {
-                    self.test_connections(now);
+                if open {
+                    self.ask_on_open_connections(now, error.kind());
                 }
                 // Danger: a process that died takes its calls with it, and nobody else tells. A refused
                 // connection proves that it is gone; a machine that vanished refuses nothing.
@@ -392,8 +393,8 @@
     /// Asks whether the hub is there: dials, if need be in place of a connection that is silent and spare. Where all
     /// are open and none is spare, each has a set-up to which the hub owes an answer.
     fn ask(&mut self, now: Instant) {
-        if self.connections.len() >= CONNECTIONS {
-            self.close_silent(now);
+        if self.connections.len() >= CONNECTIONS || self.doors.full() {
+            self.close_silent(now, 1);
         }
         if self.connections.len() >= CONNECTIONS {
             self.liveness.asked(now);
@@ -401,26 +402,32 @@
         self.dial();
     }
 
-    /// Asks on the connections that are open, where a new one is refused: a hub that drains may have closed its listener
-    /// and go on with its calls, but it answers. Without leave to ask, a hub in service that refuses connections
-    /// and says nothing owes a word all the same.
-    fn test_connections(&mut self, now: Instant) {
-        let silent = !self.standing.is_empty() && self.liveness.silence(now) >= QUIET;
-        if !silent || self.liveness.is_asked() {
+    /// Asks on the connections that are open, where a new one is refused or there is no descriptor for it: a hub that
+    /// drains may have closed its listener and go on with its calls, but it answers. Without leave to ask, a hub in
+    /// service that refuses connections and says nothing owes a word all the same.
+    fn ask_on_open_connections(&mut self, now: Instant, error: io::ErrorKind) {
+        let refused = error == io::ErrorKind::ConnectionRefused;
+        let may_ask = refused || error == doors::NONE_LEFT;
+        if !may_ask || !self.is_silent_with_calls(now) || self.liveness.is_asked() {
             return;
         }
         if self.limits.may_probe {
             self.connections.iter_mut().for_each(|c| c.queue.push_back(Out::Test));
         }
-        if self.limits.may_probe || self.not_after.is_none() {
+        if self.limits.may_probe || refused && self.not_after.is_none() {
             self.liveness.asked(now);
         }
     }
 
-    /// Closes the connection that has been silent for longest, if there is one to spare and it owes nothing: calls
+    /// Whether calls stand and nothing was heard for a while.
+    fn is_silent_with_calls(&self, now: Instant) -> bool {
+        !self.standing.is_empty() && self.liveness.silence(now) >= QUIET
+    }
+
+    /// Closes the connection that has been silent for longest, if there are more than `keep` and it owes nothing: calls
     /// that stand belong to no connection.
-    fn close_silent(&mut self, now: Instant) {
-        if self.connections.len() <= self.kept().max(1) {
+    fn close_silent(&mut self, now: Instant, keep: usize) {
+        if self.connections.len() <= keep {
             return;
         }
         let silent = |c: &Connection| c.is_spare() && now - c.heard >= QUIET;
@@ -476,8 +483,7 @@
         self.parked.retain(|(since, ..)| now - *since < RELEASE_KEPT);
         self.end_unresponsive(now);
         // Danger: a machine that vanished or is cut off says nothing, and its connections stay open.
-        let quiet =
-            !self.standing.is_empty() && self.liveness.silence(now) >= QUIET && now - self.last_up >= QUIET;
+        let quiet = self.is_silent_with_calls(now) && now - self.last_up >= QUIET;
         if !self.connections.is_empty() && (quiet || self.owes_answers(now) || self.has_silent_carrier(now)) {
             self.ask(now);
         }
--- a/tests/silent_hubs.rs
+++ b/tests/silent_hubs.rs
@@ -123,6 +123,40 @@
     is_released(&mut caller, since, || ());
 }
 
+#[test]
+fn calls_at_a_hub_that_vanished_with_no_descriptor_left_are_released_in_time() {
+    // With 64 descriptors the connections to hubs may be 16: eight hubs with two each.
+    let mut hub = ScriptedHub::with_short_queue();
+    let mut others: Vec<ScriptedHub> = (1..8).map(|_| ScriptedHub::new()).collect();
+    let mut targets = vec![hub.target(0)];
+    targets.extend(
+        others.iter().map(|other| {
+            site::target(&other.address.to_string(), &other.address.to_string(), 1, "in_service")
+        }),
+    );
+    let program = Program::changed(&targets, None, |text| {
+        unhurried(text).replace("\"sockets\":1024", "\"sockets\":64")
+    });
+    connected(&mut hub, 2);
+    others.iter_mut().for_each(|other| connected(other, 2));
+    let mut caller = Caller::connect(program.address);
+    stand(&mut hub, &mut caller, CALL);
+    // All the others have calls too, and go on speaking: none of their connections is spare for long.
+    let since = Instant::now();
+    let _filling = hub.fill_queue();
+    is_released(&mut caller, since, || {
+        for other in &mut others {
+            other.take_in();
+            for link in 0..other.links.len() {
+                if other.links[link].open {
+                    say_state(other, link);
+                }
+            }
+        }
+        sleep(Duration::from_millis(50));
+    });
+}
+
 #[test]
 fn calls_at_a_hub_whose_process_hangs_are_released_in_time() {
     // Its kernel goes on accepting connections.
