Refuse what comes in the last half second before SIGKILL instead of sending it to a hub

Callers that go on using an open connection until the kill lost requests at a planned end. Cause: what is open 0.5 s before SIGKILL may come is refused once (core, Due::Stop), but a set-up that came after that moment was sent to a hub as ever, and lost when the program ended 0.3 s later without the hub's answer. Change: from that moment on new set-ups are refused at once. Ruled out: the wait for what is owed, which counts them rightly but has to end.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -199,6 +199,8 @@
     connect: Connect,
     status: watch::Sender<Status>,
     stopping: bool,
+    /// The end is so near that no hub's answer would come in time.
+    refuses_new: bool,
     started: Micros,
     wheel: Wheel<Due>,
     calls: BTreeMap<CallId, Call>,
@@ -255,6 +257,7 @@
             connect,
             status,
             stopping: false,
+            refuses_new: false,
             started: now,
             wheel: Wheel::new(now),
             calls: BTreeMap::new(),
@@ -409,6 +412,7 @@
                 }
                 // What is open when the program must end is refused, else it would be lost.
                 Due::Stop => {
+                    self.refuses_new = true;
                     let open = self.calls.values().filter(|c| !c.answered).map(|c| c.id);
                     let open: Vec<CallId> = open.collect();
                     for id in open {
@@ -457,6 +461,10 @@
             }
             return;
         }
+        if self.refuses_new {
+            metrics::CALLS_REFUSED.increment();
+            return self.to_front(offer.front, ToFront::Refuse(offer.origin, offer.call, Micros(0)));
+        }
         let class = self.names.classes.get(&*offer.class).copied();
         let Some((class, (effect, waits))) = class.and_then(|c| Some((c, *self.classes.get(c)?))) else {
             return self.to_front(offer.front, ToFront::Fail(offer.origin, offer.call));
--- a/tests/ends.rs
+++ b/tests/ends.rs
@@ -91,6 +91,42 @@
     assert_eq!(hub.release(0xb0).cause, Some(16), "and the hub is told");
 }
 
+#[test]
+fn what_comes_on_an_open_connection_till_a_planned_end_is_over_is_answered() {
+    let _quiet = quiet();
+    let hub = ScriptedHub::new();
+    let mut program = Program::changed(&[hub.target(0)], None, unhurried);
+    let mut caller = Caller::connect(program.address);
+    program.signal("-TERM");
+    let mut sent: Vec<(u64, Instant)> = Vec::new();
+    // The hub never answers, so that the program stays for as long as it may.
+    let ended = loop {
+        let call = 0x1000 + sent.len() as u64;
+        sent.push((call, Instant::now()));
+        caller.invite(call, 15_000, 0);
+        let next = Instant::now() + 20 * MILLI;
+        while Instant::now() < next {
+            caller.take_in();
+        }
+        if !caller.take_in() {
+            break Instant::now();
+        }
+        assert!(sent[0].1.elapsed() < PATIENCE, "it ends");
+    };
+    until("the program ends", || program.child.try_wait().expect("waited"));
+    // What crosses the end of its connection is sent again by its caller.
+    let taken = sent.iter().filter(|(_, at)| *at + 50 * MILLI < ended);
+    let is_answered = |call: u64| caller.said.iter().any(|s| matches!(s, Said::Answer(c, ..) if *c == call));
+    let lost: Vec<_> = taken.filter(|(call, _)| !is_answered(*call)).collect();
+    assert!(
+        lost.is_empty(),
+        "{} of {} lost, the first {:?} before the end",
+        lost.len(),
+        sent.len(),
+        ended - lost[0].1
+    );
+}
+
 #[test]
 fn a_start_under_the_same_name_takes_nothing_of_the_old_run_for_its_own() {
     let _quiet = quiet();
