Add a seeded soak with hubs that hang and vanish, signals in series and a crowd

The records are judged after the run: answers, releases within 1 s and 8 s, attempts out together, the pause, drains; times with the run's own lateness.

--- a/lab/src/caller.rs
+++ b/lab/src/caller.rs
@@ -1,7 +1,7 @@
 //! Open-loop SIP callers: arrivals don't wait for answers, and time counts from the intended start.
 
-use crate::program::CLASSES;
 use petreldock::net::sip::{self, Start};
+use petreldock_lab::program::CLASSES;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use rand_distr::{Distribution, Exp};
--- a/lab/src/cost.rs
+++ b/lab/src/cost.rs
@@ -2,8 +2,8 @@
 
 use crate::caller::{Arrivals, Callers};
 use crate::hub::Hub;
-use crate::program::{target, ChangeLog, Program, Site};
 use hdrhistogram::Histogram;
+use petreldock_lab::program::{target, ChangeLog, Program, Site};
 use rand::rngs::StdRng;
 use rand::SeedableRng;
 use std::io;
--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -2,12 +2,12 @@
 
 use crate::caller::{Arrivals, Callers};
 use crate::hub::Hub;
-use crate::program::{target, ChangeLog, Site};
 use crate::view::quantiles;
 use clap::Args;
 use miniserde::json;
 use petreldock::fleet::show::Shown;
 use petreldock_lab::processes::Processes;
+use petreldock_lab::program::{target, ChangeLog, Site};
 use petreldock_lab::script::{Act, Script, Who};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -4,5 +4,7 @@
 pub mod check;
 pub mod net;
 pub mod processes;
+pub mod program;
 pub mod proxy;
 pub mod script;
+pub mod soak;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -5,13 +5,14 @@
 mod cost;
 mod fleet;
 mod hub;
-mod program;
+
 mod restart;
 mod view;
 
 use clap::{Args, Parser, Subcommand};
 use hdrhistogram::Histogram;
 use miniserde::{json, Serialize};
+use petreldock_lab::soak;
 use restart::{Figures, Plan, Variant, VARIANTS};
 use std::collections::BTreeSet;
 use std::fmt::Debug;
@@ -36,6 +37,8 @@
     View(view::View),
     /// The same with started processes, faults between them, and calls through them
     Fleet(fleet::Fleet),
+    /// Short runs with hubs, signals and callers that make trouble, every rule audited
+    Soak(Soak),
 }
 
 #[derive(Debug, Args)]
@@ -54,6 +57,31 @@
     binary: PathBuf,
 }
 
+#[derive(Debug, Args)]
+struct Soak {
+    /// The first seed
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// So many seeds from there on
+    #[arg(long, default_value_t = 8)]
+    seeds: u64,
+    /// Runs side by side
+    #[arg(long, default_value_t = 2)]
+    jobs: usize,
+    /// Seconds of a run
+    #[arg(long, default_value_t = 26.0)]
+    length: f64,
+    /// The program
+    #[arg(long, default_value = "target/release/petreldock")]
+    binary: PathBuf,
+    /// Print what was done in each run, also where no rule broke
+    #[arg(long)]
+    script: bool,
+    /// Keep the programs' logs of runs with a broken rule in this folder
+    #[arg(long)]
+    logs: Option<PathBuf>,
+}
+
 #[derive(Debug, Args)]
 struct Restart {
     /// The first seed
@@ -104,6 +132,7 @@
             .enable_all()
             .build()
             .and_then(|r| tokio::task::LocalSet::new().block_on(&r, fleet::run(&asked))),
+        Experiment::Soak(asked) => soak(&asked),
     };
     match done {
         Ok(true) => ExitCode::SUCCESS,
@@ -143,6 +172,52 @@
     Ok(results)
 }
 
+/// Plays the soak's seeds and prints what each showed.
+fn soak(asked: &Soak) -> std::io::Result<bool> {
+    let plan = soak::Plan { binary: asked.binary.clone(), length_s: asked.length };
+    let seeds: Vec<u64> = (asked.seed..asked.seed + asked.seeds).collect();
+    let played = side_by_side(&seeds, asked.jobs, async |seed, folder: &Path| {
+        let report = soak::play(&plan, seed, folder).await?;
+        if let Some(logs) = asked.logs.as_ref().filter(|_| !report.findings.broken.is_empty()) {
+            keep_logs(folder, &logs.join(seed.to_string()))?;
+        }
+        Ok(report)
+    })?;
+    let (mut broken, mut void) = (0, 0);
+    for (seed, report) in &played {
+        let found = &report.findings;
+        println!(
+            "seed {seed}: {} requests, {} answered, {} released in time, {} released early, held up {} ms{}",
+            found.requests,
+            found.answered,
+            found.released,
+            found.released_early,
+            report.held_up.as_millis(),
+            if report.is_void() { ", void" } else { "" }
+        );
+        void += usize::from(report.is_void());
+        if asked.script || !found.broken.is_empty() {
+            report.script.iter().for_each(|line| println!("    {line}"));
+        }
+        if !found.broken.is_empty() {
+            broken += usize::from(!report.is_void());
+            found.broken.iter().for_each(|line| println!("  broken: {line}"));
+        }
+    }
+    println!("{} seeds, {broken} with a broken rule, {void} void", played.len());
+    Ok(broken == 0)
+}
+
+/// Copies the programs' logs of one run.
+fn keep_logs(from: &Path, to: &Path) -> std::io::Result<()> {
+    std::fs::create_dir_all(to)?;
+    for entry in std::fs::read_dir(from)? {
+        let entry = entry?;
+        std::fs::copy(entry.path().join("log"), to.join(entry.file_name()))?;
+    }
+    Ok(())
+}
+
 /// Plays all variants of all seeds.
 fn plays(asked: &Restart) -> std::io::Result<Vec<(u64, Variant, Figures)>> {
     let plan = Plan {
--- a/lab/src/program.rs
+++ b/lab/src/program.rs
@@ -1,6 +1,6 @@
 //! The started program, its configuration, and the change log it polls.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -44,7 +44,7 @@
             "changelog":"{}","known":{},"settings":{{"balancers":{},"selfIndex":{index},"classes":[{classes}],
             "contract":{{"coldFrom":0.3,"warmUp":14000000,"drainGrace":2000000,"overloadFactor":3.0,"overloadFor":1000000}},
             "familyInfo":{{"networkForm":"pools","allowedPools":[[{places}],[{places}]],"classHold":[8700000,8700000],
-            "release":200000,"resend":500000}},"limits":{{"cancel":true,"dialTimeout":500000,"maxAttempts":6,
+            "release":200000,"resend":500000}},"limits":{{"cancel":true,"mayProbe":true,"dialTimeout":500000,"maxAttempts":6,
             "maxOpen":20000,"retryAfter":true,"maxRetryAfter":2000000}},
             "report":{{"names":["free","size","can_take"],"via":"piggyback"}}}}}}"#,
             self.change_log, self.known, self.balancers
@@ -126,6 +126,7 @@
 #[derive(Clone, Default)]
 pub struct ChangeLog {
     events: Rc<RefCell<Vec<String>>>,
+    silent: Rc<Cell<bool>>,
 }
 
 impl ChangeLog {
@@ -141,6 +142,11 @@
         Ok(address)
     }
 
+    /// Has it leave polls without an answer, or answer again.
+    pub fn set_silent(&self, silent: bool) {
+        self.silent.set(silent);
+    }
+
     /// Adds an event with the next number.
     pub fn tell(&self, all: bool, targets: &[String]) {
         let mut events = self.events.borrow_mut();
@@ -168,7 +174,7 @@
             let since =
                 text.split("since=").nth(1).and_then(|t| t.split('&').next()?.parse().ok()).unwrap_or(0);
             let end = Instant::now() + Duration::from_millis(500);
-            while self.events.borrow().len() <= since && Instant::now() < end {
+            while self.silent.get() || self.events.borrow().len() <= since && Instant::now() < end {
                 sleep(Duration::from_millis(10)).await;
             }
             let body = self.since(since);
--- a/lab/src/restart.rs
+++ b/lab/src/restart.rs
@@ -2,8 +2,8 @@
 
 use crate::caller::{Arrivals, Callers, Wish};
 use crate::hub::{Hub, Seen};
-use crate::program::{target, ChangeLog, Program, Site};
 use miniserde::Serialize;
+use petreldock_lab::program::{target, ChangeLog, Program, Site};
 use rand::rngs::StdRng;
 use rand::SeedableRng;
 use std::cell::Cell;
