Cut calls at an IAX2 hub that went silent within 8 s instead of half a minute

The 8 s rule holds for every front. Evidence: the new test in tests/iax2.rs; before, the call is released by its transport, beyond the rule's 8 s; now the hub is declared dead within it, and a hub that answers keeps its call for 60 s. Change (iax2/hub.rs): where calls stand and nothing was heard for 3 s, one of them asks (PING, RFC 5456, 6.7.2); after 6.5 s of silence with the question open for 1.5 s the hub is dead. Datagrams that wait are taken in before that is judged. The front's side (desk equipment) is not changed.

--- a/src/iax2/hub.rs
+++ b/src/iax2/hub.rs
@@ -24,6 +24,13 @@
 /// A socket that cannot be opened is tried again after this.
 const REOPEN: Duration = Duration::from_secs(1);
 
+/// A hub with calls that said nothing for this long is asked whether it is there (PING, RFC 5456, 6.7.2).
+const QUIET: Micros = Micros(3_000_000);
+/// Its process is dead if it said nothing for this long, so that its calls are released within 8 s,
+const MAX_SILENCE: Micros = Micros(6_500_000);
+/// ... and left the question unanswered for this long.
+const ANSWER_WITHIN: Micros = Micros(1_500_000);
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
     Out,
@@ -48,6 +55,10 @@
     by_name: HashMap<CallName, u16>,
     last_number: u16,
     not_after: Option<Micros>,
+    /// When the hub last said anything.
+    heard: Micros,
+    /// Since when it has left the question unanswered whether it is there.
+    asked: Option<Micros>,
     /// Datagrams to send.
     pub out: Vec<Vec<u8>>,
     /// What the core is to be told.
@@ -170,6 +181,7 @@
     /// Takes a datagram in.
     pub fn receive(&mut self, now: Micros, datagram: &[u8]) {
         let Some(read) = frame::parse(datagram) else { return };
+        (self.heard, self.asked) = (now, None);
         match read {
             Frame::Full(full) => {
                 let call = self.calls.get(&full.destination);
@@ -291,6 +303,29 @@
         for local in over {
             self.forget(local);
         }
+        self.end_silent(now);
+    }
+
+    /// Asks a hub that went silent with calls whether it is there, and holds it to be dead without an answer. Danger:
+    /// each call's own transport gives a hub up only half a minute later.
+    fn end_silent(&mut self, now: Micros) {
+        let Some(call) = self.calls.values_mut().find(|call| call.state == State::Standing) else { return };
+        let silence = now - self.heard;
+        match self.asked {
+            None if silence >= QUIET => {
+                self.out.extend(call.session.send(now, kind::IAX, iax::PING, &[]));
+                self.asked = Some(now);
+            }
+            Some(asked) if now - asked >= ANSWER_WITHIN && silence >= MAX_SILENCE => {
+                tracing::info!(
+                    silent_ms = silence.0 / 1000,
+                    calls = self.calls.len(),
+                    "IAX2 hub declared dead"
+                );
+                self.refused();
+            }
+            _ => {}
+        }
     }
 
     fn forget(&mut self, local: u16) {
@@ -301,7 +336,7 @@
         }
     }
 
-    /// The hub's port is closed: its process is dead. Danger: the port is told for the socket, not for a
+    /// The hub's process is dead: its port is closed, or it answers nothing. Danger: the port is told for the socket, not for a
     /// datagram, so that it is no proof of what never ran: a NEW may have reached the process before it died.
     pub fn refused(&mut self) {
         for call in std::mem::take(&mut self.calls).into_values() {
@@ -310,6 +345,7 @@
             }
         }
         self.by_name.clear();
+        self.asked = None;
         self.news.push(FromHub::Dead);
     }
 }
@@ -386,7 +422,14 @@
                 link.commands(clock.now(), &turn);
                 turn.clear();
             }
-            _ = ticks.tick() => link.tick(clock.now()),
+            _ = ticks.tick() => {
+                // Danger: what came while the process was stopped is taken in before the silence is judged.
+                tokio::task::yield_now().await;
+                while let Ok(length) = socket.try_recv(&mut datagram) {
+                    link.receive(clock.now(), &datagram[..length]);
+                }
+                link.tick(clock.now());
+            }
         }
         for datagram in link.out.drain(..) {
             // What a full socket drops is sent again as any lost datagram.
--- a/tests/iax2.rs
+++ b/tests/iax2.rs
@@ -471,6 +471,34 @@
     assert!(matches!(closed.news[..], [FromHub::Broken(CallName(1), 10), FromHub::Dead]));
 }
 
+/// A call that stands at a hub; ticks for `time` while the hub answers, or says nothing.
+fn stands_for(time: Micros, hub_answers: bool) -> (Micros, Vec<FromHub>) {
+    let mut far = Far::new();
+    far.heard();
+    far.send(kind::CONTROL, control::ANSWER, &[]);
+    far.heard();
+    far.news();
+    let start = far.now;
+    while far.now < start + time && far.link.news.is_empty() {
+        far.now = far.now + Micros(20_000);
+        far.link.tick(far.now);
+        if hub_answers {
+            far.heard();
+        }
+    }
+    (far.now - start, far.news())
+}
+
+#[test]
+fn calls_at_a_hub_that_went_silent_are_cut_in_time_and_go_on_at_one_that_answers() {
+    let (took, news) = stands_for(Micros(60_000_000), false);
+    assert!(matches!(news[..], [FromHub::Dead]), "{news:?}");
+    // Within 8 s of its end a call is released (PROTOCOL, 'The rules on sockets').
+    assert!(took < Micros(8_000_000), "after {took:?}");
+    let (_, news) = stands_for(Micros(60_000_000), true);
+    assert!(news.is_empty(), "{news:?}");
+}
+
 #[test]
 fn a_drain_and_a_deadline_are_looked_at_before_the_first_frame() {
     let mut link = Link::default();
