--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -84,7 +84,7 @@
     );
 }
 
-/// Writes the counters to the log every [`REPORT_INTERVAL`] in which a call was offered or a hub dialled.
+/// Writes the counters to the log every 10 s in which a call was offered or a hub dialled.
 pub async fn report_regularly() {
     let mut ticks = interval(REPORT_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
