--- a/lab/src/soak/mod.rs
+++ b/lab/src/soak/mod.rs
@@ -1,6 +1,6 @@
 //! A short, dense soak: a few started controllers, hubs that hang, vanish, are cut off, reset and replaced, signals
 //! in series, a silent change log and a crowd of callers, all drawn from one seed. The records are judged after the
-//! run ([`audit`]).
+//! run ([`mod@audit`]).
 
 pub mod audit;
 pub mod caller;
