Add a failing test of calls at a hub whose machine came back before it was missed

What the new process says is taken for the old one's word, and the calls of the old one stand on: never released in 20 s (silent_hubs). Where the list tells the new start, as it does within seconds, the calls are cut then. The wire does not name a process's start.

--- a/tests/silent_hubs.rs
+++ b/tests/silent_hubs.rs
@@ -164,6 +164,13 @@
     is_released(&mut caller, Instant::now(), || ());
 }
 
+#[test]
+fn calls_at_a_hub_whose_machine_came_back_before_it_was_missed_are_released_in_time() {
+    let (_program, mut hub, mut caller) = standing(ScriptedHub::new());
+    // Its old connections stay open and silent; the new process says its state, and the list tells nothing.
+    is_released(&mut caller, Instant::now(), || tell_state_when_dialled(&mut hub, Duration::from_millis(50)));
+}
+
 #[test]
 fn calls_at_a_hub_that_refuses_connections_beside_silent_ones_are_released_in_time() {
     for may_probe in [true, false] {
