Count a drain told to a silent change log as told when it can be heard (soak)

Trace: the drain stood in the change log at 4.83 s of the run, which left polls without an answer from 4.19 to 7.04 s. n1 heard of it at 7.06 s and n0 at 7.14 s ('listed hub=s-0 phase=Draining'), and none was sent after that by n0 (last at 7.12 s) or n1 (7.06 s). It now counts from 1 s after the change log answers again, and 7 s after the entry at the latest. The program is not changed.

--- a/lab/src/soak/audit.rs
+++ b/lab/src/soak/audit.rs
@@ -14,6 +14,10 @@
 const RELEASE_AFTER_RELEASE: Duration = Duration::from_secs(1);
 const RELEASE_AFTER_END: Duration = Duration::from_secs(8);
 const DRAIN_GRACE: Duration = Duration::from_secs(2);
+/// PROTOCOL, 'Figures': what the change log has to tell counts as told so much later, heard or not.
+const TOLD_UNHEARD: Duration = Duration::from_secs(7);
+/// A change log that answers again is heard within this: a pause and a dial.
+const HEARD_AGAIN: Duration = Duration::from_secs(1);
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// A set-up that crosses the end of its connection within this is sent again by its caller.
 const CROSSING: Duration = Duration::from_millis(50);
@@ -35,8 +39,10 @@
     pub planned: Vec<Span>,
     /// Hubs that were frozen, cut off or reset, up to a while after.
     pub faults: Vec<Span>,
-    /// Hubs that drained, from when that was told and could be heard.
+    /// Hubs that drained, from when that was in the change log.
     pub drains: Vec<Span>,
+    /// When the change log left polls without an answer.
+    pub silences: Vec<(Instant, Instant)>,
     /// The run's end: what is due later is not judged.
     pub end: Option<Instant>,
     /// By how much the run itself was held up.
@@ -47,6 +53,12 @@
     fn measured(&self) -> Duration {
         MEASURED + self.held_up
     }
+
+    /// When news that were in the change log at `at` count as told.
+    fn told(&self, at: Instant) -> Instant {
+        let silence = self.silences.iter().find(|(from, to)| *from <= at && at <= *to);
+        silence.map_or(at, |(_, to)| (*to + HEARD_AGAIN).min(at + TOLD_UNHEARD))
+    }
 }
 
 /// What the audit found.
@@ -88,7 +100,7 @@
     }
     for drain in &known.drains {
         let to_hub = |e: &&Event| e.hub == drain.whose && e.seen == Seen::SetUp && e.at < drain.to;
-        let grace = drain.from + DRAIN_GRACE + SOCKET_SLACK + known.measured();
+        let grace = known.told(drain.from) + DRAIN_GRACE + SOCKET_SLACK + known.measured();
         let late = record.iter().filter(to_hub).filter(|e| e.at > grace).count();
         if late > 0 {
             findings.broken.push(format!("{late} set-ups to hub {} after its drain", drain.whose));
--- a/lab/src/soak/mod.rs
+++ b/lab/src/soak/mod.rs
@@ -338,8 +338,10 @@
     sleep_until(run.start + span(&mut rng, FAULTS_FROM_S, FAULTS_TO_S)).await;
     run.say("the change log falls silent".into());
     run.log.set_silent(true);
+    let from = Instant::now();
     sleep(span(&mut rng, 1.0, 4.0)).await;
     run.log.set_silent(false);
+    run.known.borrow_mut().silences.push((from, Instant::now()));
     run.say("the change log answers again".into());
 }
 
