--- a/review/standins/src/caller.rs
+++ b/review/standins/src/caller.rs
@@ -112,6 +112,15 @@
         self.calls.record.line(&format!("caller {} gives up {call:016x}", self.name));
     }
 
+    /// Ends a call that stands; it may have been set up on another connection.
+    pub fn hang_up(&self, call: u64) {
+        let request = format!(
+            "BYE sip:x@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: {call:016x}\r\nCSeq: 2 BYE\r\nReason: Q.850;cause=16\r\nContent-Length: 0\r\n\r\n"
+        );
+        let _ = (&self.stream).write_all(request.as_bytes());
+        self.calls.record.line(&format!("caller {} hangs up {call:016x}", self.name));
+    }
+
     pub fn close(&self) {
         let _ = self.stream.shutdown(Shutdown::Both);
     }
--- a/review/standins/src/hub.rs
+++ b/review/standins/src/hub.rs
@@ -47,6 +47,8 @@
     /// Releases to be sent on the next connection too.
     repeat: Vec<u64>,
     timers: BinaryHeap<Reverse<(Instant, u64, u64, bool)>>,
+    /// How long single calls stand, where it is not the hub's usual time.
+    holds: HashMap<u64, Duration>,
     last_connection: u64,
     last_set_up: u64,
     stopped: bool,
@@ -123,6 +125,11 @@
         hub
     }
 
+    /// Lets one call stand for this time.
+    pub fn set_hold(&self, call: u64, ms: u64) {
+        self.shared.state.lock().unwrap().holds.insert(call, Duration::from_millis(ms));
+    }
+
     pub fn events(&self) -> Vec<Event> {
         self.shared.state.lock().unwrap().events.clone()
     }
@@ -259,7 +266,8 @@
             if self.write(state, connection, &answer) {
                 state.calls.get_mut(&call).unwrap().phase = Phase::Standing;
                 self.note(state, Kind::Answer, call);
-                state.timers.push(Reverse((Instant::now() + self.shared.hold, call, set_up, true)));
+                let hold = state.holds.get(&call).copied().unwrap_or(self.shared.hold);
+                state.timers.push(Reverse((Instant::now() + hold, call, set_up, true)));
             }
         } else if ends && phase == Phase::Standing {
             state.calls.remove(&call);
