--- a/review/standins/src/bin/slowlog.rs
+++ b/review/standins/src/bin/slowlog.rs
@@ -28,19 +28,18 @@
         hubs: 2,
         idempotency: "free",
     };
+    if trouble() {
+        log.late_ms.store(number("LATE_MS", 1000), Ordering::Relaxed);
+    }
     let mut program = Program::start(&deployment.json(), free_port(), &record);
     let calls = Calls::new(&record);
     let connection = Connection::open("c", program.address, &calls).unwrap();
     let start = Instant::now();
-    let late_ms = number("LATE_MS", 2000);
     let (mut told, mut stopped) = (None, false);
     // 40 calls a second; the hub drains from 8 s on and stops 9.6 s later.
     for nth in 0..880u64 {
         let at = Duration::from_millis(nth * 25);
         std::thread::sleep((start + at).saturating_duration_since(Instant::now()));
-        if trouble() && at >= Duration::from_secs(4) {
-            log.late_ms.store(late_ms, Ordering::Relaxed);
-        }
         if told.is_none() && at >= Duration::from_secs(8) {
             told = Some(now_us());
             log.put(2, event(2, false, &[entry(1, "terminating")]));
--- a/review/standins/src/relay.rs
+++ b/review/standins/src/relay.rs
@@ -48,3 +48,38 @@
     let _ = to.shutdown(Shutdown::Both);
     let _ = from.shutdown(Shutdown::Both);
 }
+
+/// A relay whose messages towards the one that connected arrive in two pieces with a pause in between.
+pub fn start_splitting(to: SocketAddr, gap_ms: Arc<std::sync::atomic::AtomicU64>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for near in listener.incoming().flatten() {
+            let Ok(far) = TcpStream::connect(to) else { continue };
+            let _ = (near.set_nodelay(true), far.set_nodelay(true));
+            let (a, b) = (near.try_clone().unwrap(), far.try_clone().unwrap());
+            std::thread::spawn(move || pass(a, b));
+            let gap_ms = gap_ms.clone();
+            std::thread::spawn(move || {
+                let (mut from, mut to) = (far, near);
+                let mut chunk = [0; 16384];
+                while let Ok(count) = from.read(&mut chunk) {
+                    let gap = gap_ms.load(std::sync::atomic::Ordering::Relaxed);
+                    let first = if gap > 0 { count / 2 } else { 0 };
+                    if count == 0 || to.write_all(&chunk[..first]).is_err() {
+                        break;
+                    }
+                    if gap > 0 {
+                        crate::sleep_ms(gap);
+                    }
+                    if to.write_all(&chunk[first..count]).is_err() {
+                        break;
+                    }
+                }
+                let _ = to.shutdown(Shutdown::Both);
+                let _ = from.shutdown(Shutdown::Both);
+            });
+        }
+    });
+    address
+}
