--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod caller;
 pub mod changelog;
 pub mod hub;
+pub mod iax2;
 pub mod relay;
 
 use std::fs::File;
@@ -32,7 +33,20 @@
 
 impl Record {
     pub fn create(path: &Path) -> Record {
-        Record { start: now_us(), file: Arc::new(Mutex::new(File::create(path).expect("record.txt"))) }
+        Record { start: now_us(), file: Arc::new(Mutex::new({
+            File::create(path).expect("record.txt");
+            File::options().append(true).open(path).expect("record.txt")
+        })) }
+    }
+
+    /// Opens the record of a run that another process has begun.
+    pub fn append(path: &Path, start: u64) -> Record {
+        let file = File::options().append(true).open(path).expect("record.txt");
+        Record { start, file: Arc::new(Mutex::new(file)) }
+    }
+
+    pub fn start(&self) -> u64 {
+        self.start
     }
 
     pub fn line(&self, text: &str) {
@@ -61,7 +75,7 @@
 }
 
 /// Processes that this one has started and not ended yet.
-static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+pub static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
 /// Ends the run as one that could not be carried out, and the processes that it started.
 pub fn cannot_run(why: &str) -> ! {
@@ -96,11 +110,18 @@
     /// Starts the program with the command that `RUN_COMMAND` holds (the deploy file's `run`), from the root of the
     /// repository (the current folder), and waits until it passes a test.
     pub fn start(config: &str, listen_port: u16, record: &Record) -> Program {
+        Program::start_with(config, None, listen_port, record)
+    }
+
+    /// Starts the program with an operator's file.
+    pub fn start_with(config: &str, operator: Option<&str>, listen_port: u16, record: &Record) -> Program {
         let command = std::env::var("RUN_COMMAND").unwrap_or_else(|_| cannot_run("RUN_COMMAND is not set"));
         let folder = std::env::temp_dir().join(format!("review-{}-{listen_port}", std::process::id()));
         std::fs::create_dir_all(&folder).unwrap();
         let file = folder.join("config.json");
         std::fs::write(&file, config).unwrap();
+        let operator_file = folder.join("operator.json");
+        std::fs::write(&operator_file, operator.unwrap_or_default()).unwrap();
         let address: SocketAddr = format!("127.0.0.1:{listen_port}").parse().unwrap();
         let log = File::create(folder.join("log.txt")).unwrap();
         let child = Command::new("/bin/sh")
@@ -109,6 +130,7 @@
             .env("ROUTER_LISTEN", address.to_string())
             .env("ROUTER_CONFIG", &file)
             .env("TMPDIR", &folder)
+            .envs(operator.map(|_| ("PETRELDOCK_OPERATOR", &operator_file)))
             .stdin(Stdio::null())
             .stdout(log.try_clone().unwrap())
             .stderr(log)
