--- a/review/standins/src/bin/slowlog.rs
+++ b/review/standins/src/bin/slowlog.rs
@@ -61,7 +61,7 @@
     };
     let (strict, broken) = (late(2050), late(9050));
     record.say(&format!(
-        "change log: asked {} times, {} answers taken; set-ups to the draining hub: {strict} later than 2.05 s after the drain was in the change log, {broken} later than 9.05 s",
+        "change log: asked {} times, answered {} times; set-ups to the draining hub: {strict} later than 2.05 s after the drain was in the change log, {broken} later than 9.05 s",
         log.asked.load(Ordering::Relaxed),
         log.answers.load(Ordering::Relaxed)
     ));
