--- a/review/standins/src/bin/crossed.rs
+++ b/review/standins/src/bin/crossed.rs
@@ -14,8 +14,11 @@
     let folder = std::env::args().nth(1).unwrap_or(".".into());
     let record = Record::create(&Path::new(&folder).join("record.txt"));
     let hubs: Vec<Hub> = (0..2).map(|n| Hub::start(&format!("hub-{n}"), 200, 150, 3000, &record)).collect();
-    let targets: Vec<String> =
-        hubs.iter().enumerate().map(|(n, h)| target(&format!("hub-{n}"), h.address, n, "in_service")).collect();
+    let targets: Vec<String> = hubs
+        .iter()
+        .enumerate()
+        .map(|(n, h)| target(&format!("hub-{n}"), h.address, n, "in_service"))
+        .collect();
     let log = changelog::ChangeLog::start(&record);
     log.put(1, event(1, true, &targets));
     let known = event(1, true, &targets);
@@ -80,11 +83,18 @@
         twice += u64::from(set_ups.len() > 1);
         for end in &ends {
             if let Some(next) = set_ups.iter().find(|at| **at >= *end) {
-                record.say(&format!("call {call:016x} was sent again {:.1} ms after it was given up", (next - end) as f64 / 1000.0));
+                record.say(&format!(
+                    "call {call:016x} was sent again {:.1} ms after it was given up",
+                    (next - end) as f64 / 1000.0
+                ));
                 early += u64::from(next - end < 250_000);
             }
         }
-        record.line(&format!("call {call:016x}: {} set-ups at hubs, answers {:?}", set_ups.len(), calls.get(*call).answers.iter().map(|a| a.1).collect::<Vec<_>>()));
+        record.line(&format!(
+            "call {call:016x}: {} set-ups at hubs, answers {:?}",
+            set_ups.len(),
+            calls.get(*call).answers.iter().map(|a| a.1).collect::<Vec<_>>()
+        ));
     }
     record.say(&format!(
         "class {idempotency}: {} set-ups, {twice} of them reached a hub twice, {early} within 250 ms of the give-up",
--- a/review/standins/src/bin/partial.rs
+++ b/review/standins/src/bin/partial.rs
@@ -19,8 +19,11 @@
     let folder = std::env::args().nth(1).unwrap_or(".".into());
     let record = Record::create(&Path::new(&folder).join("record.txt"));
     let hubs: Vec<Hub> = (0..2).map(|n| Hub::start(&format!("hub-{n}"), 400, 30, 2000, &record)).collect();
-    let targets: Vec<String> =
-        hubs.iter().enumerate().map(|(n, h)| target(&format!("hub-{n}"), h.address, n, "in_service")).collect();
+    let targets: Vec<String> = hubs
+        .iter()
+        .enumerate()
+        .map(|(n, h)| target(&format!("hub-{n}"), h.address, n, "in_service"))
+        .collect();
     let log = changelog::ChangeLog::start(&record);
     log.put(1, event(1, true, &targets));
     let known = event(1, true, &targets);
@@ -58,7 +61,9 @@
                         while nth < rate * seconds {
                             let at = start + Duration::from_micros(nth * 1_000_000 / rate);
                             std::thread::sleep(at.saturating_duration_since(Instant::now()));
-                            if let Ok(mut s) = TcpStream::connect_timeout(&address, Duration::from_millis(900)) {
+                            if let Ok(mut s) =
+                                TcpStream::connect_timeout(&address, Duration::from_millis(900))
+                            {
                                 let _ = s.write_all(&part);
                                 opened.fetch_add(1, Ordering::Relaxed);
                                 held.lock().unwrap().push((Instant::now() + Duration::from_secs(4), s));
@@ -82,7 +87,9 @@
     for nth in 0..150u64 {
         let calls = calls.clone();
         callers.push(std::thread::spawn(move || {
-            std::thread::sleep((start + Duration::from_millis(nth * 100)).saturating_duration_since(Instant::now()));
+            std::thread::sleep(
+                (start + Duration::from_millis(nth * 100)).saturating_duration_since(Instant::now()),
+            );
             let call = 0x3000 + nth;
             // A set-up that crosses the close of its connection within 50 ms is sent again, once, on a new one.
             for _ in 0..2 {
@@ -128,7 +135,13 @@
             }
             late => {
                 lost += 1;
-                record.line(&format!("call {:016x}: sent at {:.0} ms, no answer within {} ms; later: {:?}", 0x3000 + nth, record.ms(sent), within + 550, late.map(|(at, status, _)| (record.ms(*at), *status))));
+                record.line(&format!(
+                    "call {:016x}: sent at {:.0} ms, no answer within {} ms; later: {:?}",
+                    0x3000 + nth,
+                    record.ms(sent),
+                    within + 550,
+                    late.map(|(at, status, _)| (record.ms(*at), *status))
+                ));
             }
         }
     }
--- a/review/standins/src/bin/pieces.rs
+++ b/review/standins/src/bin/pieces.rs
@@ -19,7 +19,14 @@
     let log = changelog::ChangeLog::start(&record);
     let known = event(1, true, &[target("hub-0", address, 0, "in_service")]);
     log.put(1, known.clone());
-    let deployment = Deployment { sockets: 1024, changelog: Some(log.address), known: &known, seq: 1, hubs: 1, idempotency: "free" };
+    let deployment = Deployment {
+        sockets: 1024,
+        changelog: Some(log.address),
+        known: &known,
+        seq: 1,
+        hubs: 1,
+        idempotency: "free",
+    };
     let mut program = Program::start(&deployment.json(), free_port(), &record);
     let calls = Calls::new(&record);
     let connection = Connection::open("c", program.address, &calls).unwrap();
--- a/review/standins/src/bin/quiet.rs
+++ b/review/standins/src/bin/quiet.rs
@@ -13,8 +13,11 @@
     let folder = std::env::args().nth(1).unwrap_or(".".into());
     let record = Record::create(&Path::new(&folder).join("record.txt"));
     let hubs: Vec<Hub> = (0..2).map(|n| Hub::start(&format!("hub-{n}"), 200, 30, 5000, &record)).collect();
-    let targets: Vec<String> =
-        hubs.iter().enumerate().map(|(n, h)| target(&format!("hub-{n}"), h.address, n, "in_service")).collect();
+    let targets: Vec<String> = hubs
+        .iter()
+        .enumerate()
+        .map(|(n, h)| target(&format!("hub-{n}"), h.address, n, "in_service"))
+        .collect();
     let log = changelog::ChangeLog::start(&record);
     log.put(1, event(1, true, &targets));
     let known = event(1, true, &targets);
@@ -50,17 +53,25 @@
         record.say("the session controller has ended");
     }
     if let Some(at) = *connection.ended.lock().unwrap() {
-        record.say(&format!("the session controller closed the caller's connection at {:.1} s", record.ms(at) / 1000.0));
+        record.say(&format!(
+            "the session controller closed the caller's connection at {:.1} s",
+            record.ms(at) / 1000.0
+        ));
     }
     let answer = calls.get(LONG_CALL).answers.first().map(|a| a.1);
     let end = hubs.iter().flat_map(|h| h.events()).find(|e| e.call == LONG_CALL && e.kind == Kind::End);
-    let Some(end) = end.filter(|_| answer == Some(200)) else { cannot_run("the long call did not stand to its end") };
+    let Some(end) = end.filter(|_| answer == Some(200)) else {
+        cannot_run("the long call did not stand to its end")
+    };
     let bye = calls.get(LONG_CALL).byes.first().map(|b| b.0);
     let in_time = bye.is_some_and(|at| at <= end.at + 8_050_000);
     record.say(&format!(
         "the hub released the long call at {:.1} s; its caller heard of it {}",
         record.ms(end.at) / 1000.0,
-        bye.map_or("not at all".into(), |at| format!("{:.2} s later", at.saturating_sub(end.at) as f64 / 1e6))
+        bye.map_or("not at all".into(), |at| format!(
+            "{:.2} s later",
+            at.saturating_sub(end.at) as f64 / 1e6
+        ))
     ));
     drop(connection);
     drop(program);
@@ -79,12 +90,20 @@
     sleep_ms(4000);
     second.close();
     sleep_ms(17_000);
-    let end = hubs.iter().flat_map(|h| h.events()).find(|e| e.call == LONG_CALL && e.kind == Kind::End).unwrap();
+    let end =
+        hubs.iter().flat_map(|h| h.events()).find(|e| e.call == LONG_CALL && e.kind == Kind::End).unwrap();
     let bye = calls.get(LONG_CALL).byes.first().map(|b| b.0);
     if let Some(at) = *connection.ended.lock().unwrap() {
-        record.say(&format!("the session controller closed the caller's connection at {:.1} s", record.ms(at) / 1000.0));
+        record.say(&format!(
+            "the session controller closed the caller's connection at {:.1} s",
+            record.ms(at) / 1000.0
+        ));
     }
-    record.say(&format!("the hub released the call at {:.1} s; heard: {}", record.ms(end.at) / 1000.0, bye.is_some()));
+    record.say(&format!(
+        "the hub released the call at {:.1} s; heard: {}",
+        record.ms(end.at) / 1000.0,
+        bye.is_some()
+    ));
     drop(program);
     std::process::exit(i32::from(bye.is_none()));
 }
--- a/review/standins/src/bin/replaced.rs
+++ b/review/standins/src/bin/replaced.rs
@@ -72,7 +72,10 @@
         if trouble() {
             late += u64::from(bye.is_none_or(|at| at > died + 8_050_000));
             record.say(&match bye {
-                Some(at) => format!("call {call:016x}: released towards its caller {:.2} s after the process died", (at - died) as f64 / 1e6),
+                Some(at) => format!(
+                    "call {call:016x}: released towards its caller {:.2} s after the process died",
+                    (at - died) as f64 / 1e6
+                ),
                 None => format!("call {call:016x}: not released towards its caller"),
             });
         } else {
--- a/review/standins/src/caller.rs
+++ b/review/standins/src/caller.rs
@@ -57,7 +57,9 @@
 
 /// Whether the session controller passes a test.
 pub fn test_passes(address: SocketAddr) -> bool {
-    let Ok(mut stream) = TcpStream::connect_timeout(&address, Duration::from_millis(500)) else { return false };
+    let Ok(mut stream) = TcpStream::connect_timeout(&address, Duration::from_millis(500)) else {
+        return false;
+    };
     let _ = stream.set_read_timeout(Some(Duration::from_millis(500)));
     let request = "OPTIONS sip:ping@net SIP/2.0\r\nVia: SIP/2.0/TCP front\r\nCall-ID: 00000000000000aa\r\nCSeq: 1 OPTIONS\r\nContent-Length: 0\r\n\r\n";
     let mut answer = [0; 1024];
@@ -73,9 +75,14 @@
     pub fn open(name: &str, address: SocketAddr, calls: &Calls) -> std::io::Result<Connection> {
         let stream = TcpStream::connect_timeout(&address, Duration::from_secs(5))?;
         stream.set_nodelay(true)?;
-        let connection = Connection { stream, calls: calls.clone(), name: name.into(), ended: Arc::default() };
-        let (stream, calls, ended, name) =
-            (connection.stream.try_clone()?, calls.clone(), connection.ended.clone(), connection.name.clone());
+        let connection =
+            Connection { stream, calls: calls.clone(), name: name.into(), ended: Arc::default() };
+        let (stream, calls, ended, name) = (
+            connection.stream.try_clone()?,
+            calls.clone(),
+            connection.ended.clone(),
+            connection.name.clone(),
+        );
         std::thread::spawn(move || {
             read_messages(stream, &calls, &name);
             *ended.lock().unwrap() = Some(now_us());
--- a/review/standins/src/changelog.rs
+++ b/review/standins/src/changelog.rs
@@ -89,7 +89,8 @@
             );
             let sent = stream.write_all((head + &body).as_bytes()).is_ok();
             self.answers.fetch_add(u64::from(sent), Ordering::Relaxed);
-            self.record.line(&format!("change log answered since={since} last={last} events={}", events.len()));
+            self.record
+                .line(&format!("change log answered since={since} last={last} events={}", events.len()));
             if !sent {
                 return;
             }
--- a/review/standins/src/hub.rs
+++ b/review/standins/src/hub.rs
@@ -1,8 +1,8 @@
 //! A table hub: answers each set-up after a fixed time, lets the call stand for a fixed time, and releases it.
 
 use crate::{now_us, Record};
-use std::collections::{BTreeMap, BinaryHeap, HashMap};
 use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex};
@@ -251,14 +251,17 @@
                 }
                 next => {
                     let wait = next.map_or(Duration::from_millis(200), |at| at - now);
-                    state = self.shared.wake.wait_timeout(state, wait.min(Duration::from_millis(200))).unwrap().0;
+                    state =
+                        self.shared.wake.wait_timeout(state, wait.min(Duration::from_millis(200))).unwrap().0;
                 }
             }
         }
     }
 
     fn due(&self, state: &mut State, call: u64, set_up: u64, ends: bool) {
-        let Some((phase, connection)) = state.calls.get(&call).map(|c| (c.phase, c.connection)) else { return };
+        let Some((phase, connection)) = state.calls.get(&call).map(|c| (c.phase, c.connection)) else {
+            return;
+        };
         if !ends && phase == Phase::Pending(set_up) {
             let description = format!("c=IN IP4 10.0.0.1\r\ns={}-{set_up}-{call:016x}\r\n", self.shared.name);
             let report = self.report(state);
--- a/review/standins/src/iax2.rs
+++ b/review/standins/src/iax2.rs
@@ -23,7 +23,16 @@
     iseq: u8,
 }
 
-fn frame(source: u16, destination: u16, timestamp: u32, oseq: u8, iseq: u8, kind: u8, subclass: u8, data: &[u8]) -> Vec<u8> {
+fn frame(
+    source: u16,
+    destination: u16,
+    timestamp: u32,
+    oseq: u8,
+    iseq: u8,
+    kind: u8,
+    subclass: u8,
+    data: &[u8],
+) -> Vec<u8> {
     let mut out = (source | 0x8000).to_be_bytes().to_vec();
     out.extend(destination.to_be_bytes());
     out.extend(timestamp.to_be_bytes());
@@ -57,15 +66,18 @@
             record.line(&format!("IAX2 hub: NEW, call number {next}"));
             let ms = ((now_us() - start) / 1000) as u32;
             let _ = socket.send_to(&frame(next, source, timestamp, 0, 1, IAX, ACK, &[]), from);
-            let _ = socket.send_to(&frame(next, source, ms + 1, 0, 1, IAX, ACCEPT, &[9, 4, 0, 0, 0, 4]), from);
+            let _ =
+                socket.send_to(&frame(next, source, ms + 1, 0, 1, IAX, ACCEPT, &[9, 4, 0, 0, 0, 4]), from);
             let _ = socket.send_to(&frame(next, source, ms + 2, 1, 1, CONTROL, ANSWER, &[]), from);
             calls.insert(key, Call { number: next, oseq: 2, iseq: 1 });
             continue;
         }
         let Some(call) = calls.get_mut(&key).filter(|c| destination == c.number || destination == 0) else {
             record.line(&format!("IAX2 hub: frame {kind}/{subclass} of an unknown call: INVAL"));
-            let _ = socket
-                .send_to(&frame(destination.max(1), source, timestamp, 0, oseq.wrapping_add(1), IAX, INVAL, &[]), from);
+            let _ = socket.send_to(
+                &frame(destination.max(1), source, timestamp, 0, oseq.wrapping_add(1), IAX, INVAL, &[]),
+                from,
+            );
             continue;
         };
         if oseq == call.iseq {
--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -33,10 +33,13 @@
 
 impl Record {
     pub fn create(path: &Path) -> Record {
-        Record { start: now_us(), file: Arc::new(Mutex::new({
-            File::create(path).expect("record.txt");
-            File::options().append(true).open(path).expect("record.txt")
-        })) }
+        Record {
+            start: now_us(),
+            file: Arc::new(Mutex::new({
+                File::create(path).expect("record.txt");
+                File::options().append(true).open(path).expect("record.txt")
+            })),
+        }
     }
 
     /// Opens the record of a run that another process has begun.
