Say why a caller's connection closes and at which stage a poll of the change log fails

Need: the logs could not tell an idle connection that was closed with a call up from one that its caller closed ('by_us=false' for both), nor a refused dial of the change log from an answer that was late.

Change: the log of a closed connection names the reason, the calls still up and the idle time; a failed poll names its stage, the time waited and the hold requested; two counters (caller_connections_closed_with_calls, change_log_poll_failures).

Measured: sip_server, unresponsive_callers and change_log_poller pass (21 tests).

--- a/src/net/change_log_poller.rs
+++ b/src/net/change_log_poller.rs
@@ -6,6 +6,7 @@
 use crate::config::{self, Changes, JsonNode};
 use crate::core::{Clock, Hub, HubListUpdate, Input};
 use crate::interface::Micros;
+use crate::metrics;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
 use std::io;
@@ -149,6 +150,7 @@
             }
             Err(error) => {
                 tracing::warn!(seq, "change log: {error}; asking again");
+                metrics::CHANGE_LOG_POLL_FAILURES.increment();
                 failures += 1;
                 earliest_publication.poll_failed();
             }
@@ -193,7 +195,10 @@
     sleep(delay).await;
     let (mut stream, mut buffer) = match kept_alive {
         Some(kept_alive) => kept_alive,
-        None => (dial(address, IO_TIMEOUT).await?, Buffer::default()),
+        None => {
+            let stream = dial(address, IO_TIMEOUT).await;
+            (stream.map_err(|error| in_stage("connecting", error))?, Buffer::default())
+        }
     };
     let hold_ms = hold.as_millis();
     let request = format!(
@@ -201,8 +206,14 @@
     );
     let requested_at = clock.now();
     timeout(IO_TIMEOUT, stream.write_all(request.as_bytes())).await??;
+    let response =
+        timeout(hold + RESPONSE_TIMEOUT, read_response(&mut stream, &mut buffer, hold, clock)).await;
     let (response, began_at) =
-        timeout(hold + RESPONSE_TIMEOUT, read_response(&mut stream, &mut buffer, hold, clock)).await??;
+        response.map_err(io::Error::from).and_then(|response| response).map_err(|error| {
+            let waited_ms = (clock.now() - requested_at).0 / 1_000;
+            let stage = format!("response after {waited_ms} ms, {hold_ms} of them requested");
+            in_stage(&stage, error)
+        })?;
     if response.status != 200 {
         return Err(invalid_data(format!("HTTP status {}", response.status)));
     }
@@ -218,6 +229,11 @@
     Ok(PollResponse { changes, requested_at, began_at, kept_alive })
 }
 
+/// Adds the stage of a poll to its error.
+fn in_stage(stage: &str, error: io::Error) -> io::Error {
+    io::Error::new(error.kind(), format!("{stage}: {error}"))
+}
+
 /// Reads one response, and returns it with the time of its first bytes.
 ///
 /// A change log may stop before it responds or in the middle of an event and leave the connection open. Nothing more
--- a/src/net/sip_server/connection.rs
+++ b/src/net/sip_server/connection.rs
@@ -9,6 +9,7 @@
 use super::Server;
 use crate::core::{CallName, Cause, Input, Origin, ToFront};
 use crate::interface::Micros;
+use crate::metrics;
 use crate::net::buffer::{Buffer, MAX_MESSAGE_BYTES};
 use crate::net::shared_count::CountShare;
 use crate::net::sip::{self, Malformed, StartLine};
@@ -43,12 +44,21 @@
 /// Number of times it yields after that, for the core's answers to arrive before more is read.
 const ANSWER_YIELDS: usize = 3;
 
-/// How a connection is closed.
-enum CloseMode {
-    /// At once: it failed or is idle, or its caller closed it or does not read.
-    Immediate,
-    /// By the server after its last response was written: it is shut for writing and still read for a short time.
-    Lingering,
+/// Why a connection ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CloseReason {
+    /// The caller closed it, or reading or writing failed.
+    Disconnected,
+    /// It was idle for too long.
+    Idle,
+    /// It was idle when descriptors were short.
+    Evicted,
+    /// Its caller does not read what is sent.
+    Unread,
+    /// The server closed it after its last response was written. It is shut for writing and still read for a short time.
+    Finished,
+    /// The server is shutting down.
+    Shutdown,
 }
 
 /// Result of reading a connection's socket.
@@ -127,10 +137,14 @@
         sent_part: false,
         outstanding_share: server.outstanding.share(),
     };
-    let mode = connection.run(&stream, &mut commands).await;
-    let lingers = matches!(mode, CloseMode::Lingering);
-    let open = connection.open_set_ups.len();
-    tracing::debug!(connection = number, by_us = lingers, open, "caller connection closed");
+    let reason = connection.run(&stream, &mut commands).await;
+    let lingers = reason == CloseReason::Finished;
+    let (open, calls) = (connection.open_set_ups.len(), connection.answered_calls);
+    let unused_ms = connection.last_used.elapsed().as_millis();
+    tracing::debug!(connection = number, why = ?reason, open, calls, unused_ms, "caller connection closed");
+    if calls > 0 && reason != CloseReason::Disconnected {
+        metrics::CALLER_CONNECTIONS_CLOSED_WITH_CALLS.increment();
+    }
     server.registry().remove(number, lingers);
     commands.close();
     connection.flush_pending().await;
@@ -204,7 +218,7 @@
     }
 
     /// Runs the connection until it has to be closed.
-    async fn run(&mut self, stream: &TcpStream, commands: &mut mpsc::Receiver<Command>) -> CloseMode {
+    async fn run(&mut self, stream: &TcpStream, commands: &mut mpsc::Receiver<Command>) -> CloseReason {
         loop {
             if std::mem::take(&mut self.sent_part) {
                 self.yield_to_core(commands).await;
@@ -226,27 +240,27 @@
                     }
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Err(_) => return CloseMode::Immediate,
+                Err(_) => return CloseReason::Disconnected,
             }
             self.releases.on_written(Instant::now(), self.bytes_written);
             self.publish_state(has_open || has_partial, has_calls);
             self.outstanding_share.set(self.outstanding_count());
             if self.output.len() > MAX_OUTPUT_BYTES {
-                return CloseMode::Immediate;
+                return CloseReason::Unread;
             }
             if self.is_closing && self.output.is_empty() {
-                return CloseMode::Lingering;
+                return CloseReason::Finished;
             }
             let check_at = self.releases.check_at();
             tokio::select! {
                 readable = stream.readable(), if !self.is_closing => {
                     if readable.is_err() || matches!(self.read(stream).await, ReadOutcome::Closed) {
-                        return CloseMode::Immediate;
+                        return CloseReason::Disconnected;
                     }
                 }
                 writable = stream.writable(), if !self.output.is_empty() => {
                     if writable.is_err() {
-                        return CloseMode::Immediate;
+                        return CloseReason::Disconnected;
                     }
                 }
                 command = commands.recv() => match command {
@@ -255,16 +269,23 @@
                     // Reads first, since data may have come after the connection was chosen. A partial request keeps
                     // the connection open too.
                     Some(Command::CloseIdle) if self.outstanding_count() == 0 => {
-                        if !matches!(self.yield_and_read(stream).await, ReadOutcome::Data) {
-                            return CloseMode::Immediate;
+                        match self.yield_and_read(stream).await {
+                            ReadOutcome::Data => {}
+                            ReadOutcome::NoData => return CloseReason::Evicted,
+                            ReadOutcome::Closed => return CloseReason::Disconnected,
                         }
                     }
                     Some(Command::CloseIdle) => {}
-                    None => return CloseMode::Immediate,
+                    None => return CloseReason::Shutdown,
                 },
                 _ = tokio::time::sleep_until(idle_at), if !has_open => {
-                    if self.is_closing || !matches!(self.yield_and_read(stream).await, ReadOutcome::Data) {
-                        return CloseMode::Immediate;
+                    if self.is_closing {
+                        return CloseReason::Unread;
+                    }
+                    match self.yield_and_read(stream).await {
+                        ReadOutcome::Data => {}
+                        ReadOutcome::NoData => return CloseReason::Idle,
+                        ReadOutcome::Closed => return CloseReason::Disconnected,
                     }
                 }
                 // A caller that sends nothing, or stops in the middle of a message, would hold a descriptor for ever.
@@ -273,18 +294,18 @@
                     match self.yield_and_read(stream).await {
                         ReadOutcome::NoData => self.fail_open_set_ups().await,
                         ReadOutcome::Data => {}
-                        ReadOutcome::Closed => return CloseMode::Immediate,
+                        ReadOutcome::Closed => return CloseReason::Disconnected,
                     }
                 }
                 // Reads a 200 that may already be in the socket before releases are repeated.
                 _ = tokio::time::sleep_until(check_at.unwrap_or(idle_at)), if check_at.is_some() => {
                     if !self.is_closing && matches!(self.read(stream).await, ReadOutcome::Closed) {
-                        return CloseMode::Immediate;
+                        return CloseReason::Disconnected;
                     }
                     self.repeat_overdue_releases();
                 }
                 // The caller does not read the remaining output in time.
-                _ = tokio::time::sleep_until(self.last_used + MESSAGE_TIMEOUT), if self.is_closing => return CloseMode::Immediate,
+                _ = tokio::time::sleep_until(self.last_used + MESSAGE_TIMEOUT), if self.is_closing => return CloseReason::Unread,
             }
         }
     }
