Keep a quiet caller's connection open while a call answered on it is up

Cause: net/sip_server/connection.rs closed a connection without set-ups after IDLE_WITH_CALLS_TIMEOUT although a call answered on it was up, and nobody opens another one for the release. answered_calls was a number at each connection that any BYE on it lowered.

Evidence: 'why=Idle calls=1 unused_ms=30001', 5 s later 'release received', 'release queued: no caller connected'. Ruled out: eviction, a close by the caller (other reasons in the log), a lost hub release (it was received), a dropped release (releases_lost=0).

Change: the registry knows on which connection each call was answered and hears of its end wherever that comes. A connection with calls is closed only if descriptors are short: unresponsive ones first, then the least recently used. Once its last call has ended it has the idle time of 5 s again, so that descriptors stay bounded.

--- a/src/net/sip_server/connection.rs
+++ b/src/net/sip_server/connection.rs
@@ -23,12 +23,11 @@
 
 /// Bytes of unsent output above which the connection is closed, because its caller does not read.
 const MAX_OUTPUT_BYTES: usize = 64 * 1024;
-/// Idle time after which a connection without open set-ups and without answered calls is closed. Callers close theirs
-/// after 4 s.
+/// Idle time after which a connection without open set-ups and without calls is closed. Callers close theirs after 4 s.
+///
+/// A connection on which calls were answered that are up is never closed as idle, since its caller may have no reason to
+/// open another one for their releases. It is closed only if descriptors are short.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
-/// Idle time after which a connection without open set-ups, but with answered calls, is closed. It is longer because
-/// the releases of these calls would have to be sent on another connection.
-const IDLE_WITH_CALLS_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time within which a message must be complete. For the first one it starts with the connection. A closing connection
 /// also has this long to write its remaining output.
 const MESSAGE_TIMEOUT: Duration = Duration::from_secs(2);
@@ -92,9 +91,6 @@
     releases: ReleaseTracker,
     /// When data was last read.
     last_received: Option<Instant>,
-    /// Number of calls answered on this connection and not released, as far as is known here: a BYE for one of them may
-    /// come on another connection.
-    answered_calls: usize,
     /// A request that requires a response (any but ACK) was received.
     received_request: bool,
     /// Since when an incomplete message has been awaited; initially since the connection was accepted.
@@ -128,7 +124,6 @@
         unwritten_answers: VecDeque::new(),
         releases: ReleaseTracker::new(number),
         last_received: None,
-        answered_calls: 0,
         received_request: false,
         partial_since: Some(Instant::now()),
         last_used: Instant::now(),
@@ -139,13 +134,12 @@
     };
     let reason = connection.run(&stream, &mut commands).await;
     let lingers = reason == CloseReason::Finished;
-    let (open, calls) = (connection.open_set_ups.len(), connection.answered_calls);
-    let unused_ms = connection.last_used.elapsed().as_millis();
+    let calls = server.registry().remove(number, lingers);
+    let (open, unused_ms) = (connection.open_set_ups.len(), connection.last_used.elapsed().as_millis());
     tracing::debug!(connection = number, why = ?reason, open, calls, unused_ms, "caller connection closed");
     if calls > 0 && reason != CloseReason::Disconnected {
         metrics::CALLER_CONNECTIONS_CLOSED_WITH_CALLS.increment();
     }
-    server.registry().remove(number, lingers);
     commands.close();
     connection.flush_pending().await;
     let unsent = connection.write_last_refusals(&stream, &mut commands).await;
@@ -227,9 +221,8 @@
             if self.is_closing && !self.open_set_ups.is_empty() {
                 self.fail_open_set_ups().await;
             }
-            let (has_open, has_calls) = (!self.open_set_ups.is_empty(), self.answered_calls > 0);
+            let has_open = !self.open_set_ups.is_empty();
             let has_partial = !self.input.unconsumed().is_empty();
-            let idle_at = self.last_used + if has_calls { IDLE_WITH_CALLS_TIMEOUT } else { IDLE_TIMEOUT };
             let message_deadline = self.partial_since.map(|since| since + MESSAGE_TIMEOUT);
             match stream.try_write(&self.output) {
                 Ok(count) => {
@@ -243,7 +236,8 @@
                 Err(_) => return CloseReason::Disconnected,
             }
             self.releases.on_written(Instant::now(), self.bytes_written);
-            self.publish_state(has_open || has_partial, has_calls);
+            let has_calls = self.publish_state(has_open || has_partial);
+            let idle_at = self.last_used + IDLE_TIMEOUT;
             self.outstanding_share.set(self.outstanding_count());
             if self.output.len() > MAX_OUTPUT_BYTES {
                 return CloseReason::Unread;
@@ -276,9 +270,11 @@
                         }
                     }
                     Some(Command::CloseIdle) => {}
+                    // The caller has a full idle time for its next set-up.
+                    Some(Command::LastCallEnded) => self.last_used = Instant::now(),
                     None => return CloseReason::Shutdown,
                 },
-                _ = tokio::time::sleep_until(idle_at), if !has_open => {
+                _ = tokio::time::sleep_until(idle_at), if !has_open && !has_calls => {
                     if self.is_closing {
                         return CloseReason::Unread;
                     }
@@ -310,15 +306,16 @@
         }
     }
 
-    /// Publishes the connection's state in the registry.
-    fn publish_state(&self, is_busy: bool, has_calls: bool) {
-        if let Some(entry) = self.server.registry().entry(self.number) {
-            (entry.last_used, entry.is_busy, entry.has_calls) = (self.last_used, is_busy, has_calls);
-            entry.last_received = self.last_received.filter(|_| self.received_request);
-            entry.is_unresponsive = self.releases.is_unresponsive();
-            entry.is_write_blocked = !self.output.is_empty();
-            entry.close_requested = false;
-        }
+    /// Publishes the connection's state in the registry. Returns whether calls that were answered on it are up.
+    fn publish_state(&self, is_busy: bool) -> bool {
+        let mut registry = self.server.registry();
+        let Some(entry) = registry.entry(self.number) else { return false };
+        (entry.last_used, entry.is_busy) = (self.last_used, is_busy);
+        entry.last_received = self.last_received.filter(|_| self.received_request);
+        entry.is_unresponsive = self.releases.is_unresponsive();
+        entry.is_write_blocked = !self.output.is_empty();
+        entry.close_requested = false;
+        entry.has_calls()
     }
 
     /// Sends overdue releases on other connections.
@@ -426,7 +423,7 @@
                 Ok(Command::FromCore(message)) => self.handle_core_message(message).await,
                 Ok(Command::Release(release)) => self.send_release(release),
                 // The connection is in use.
-                Ok(Command::CloseIdle) => {}
+                Ok(Command::CloseIdle | Command::LastCallEnded) => {}
                 Err(_) => return,
             }
         }
--- a/src/net/sip_server/connection/messages.rs
+++ b/src/net/sip_server/connection/messages.rs
@@ -72,7 +72,7 @@
                         inputs.push(Input::Withdrawn(id, origin, call));
                     }
                     None => {
-                        self.answered_calls = self.answered_calls.saturating_sub(1);
+                        self.server.registry().call_ended(call);
                         inputs.push(Input::Hangup(id, call, cause));
                     }
                 }
@@ -119,7 +119,6 @@
         match message {
             ToFront::Answer(_, call, description) => match self.open_set_ups.remove(&call) {
                 Some(set_up) => {
-                    self.answered_calls += 1;
                     let contact = format!("<sip:petreldock@{}>", self.server.listen);
                     let more = [("Contact", &*contact), ("Content-Type", SDP)];
                     // The description of a hub that uses another protocol is of no use to a SIP caller.
@@ -132,6 +131,7 @@
                 // The caller cancelled its set-up while the answer was on its way here. It has received its final
                 // response, so the call is only hung up at the hub.
                 None => {
+                    self.server.registry().call_ended(call);
                     self.server.send_to_core(Input::Hangup(self.server.id, call, Cause::NORMAL)).await;
                 }
             },
@@ -148,10 +148,7 @@
                     self.respond((500, "Server Internal Error"), &set_up.headers, &[], &[]);
                 }
             }
-            ToFront::Release(origin, call, cause) => {
-                self.answered_calls -= usize::from(origin.is_some() && self.answered_calls > 0);
-                self.send_release(Release::new(call, cause));
-            }
+            ToFront::Release(_, call, cause) => self.send_release(Release::new(call, cause)),
             // The media of SIP callers does not pass through the session controller.
             ToFront::Media(..) => {}
         }
--- a/src/net/sip_server/registry.rs
+++ b/src/net/sip_server/registry.rs
@@ -2,10 +2,10 @@
 
 use super::release_tracker::Release;
 use super::MAX_OPEN_SET_UPS;
-use crate::core::ToFront;
+use crate::core::{CallName, ToFront};
 use crate::metrics;
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet, VecDeque};
 use tokio::sync::mpsc;
 use tokio::time::{Duration, Instant};
 
@@ -24,6 +24,8 @@
     Release(Release),
     /// Close if no set-up is open, because descriptors are short.
     CloseIdle,
+    /// No call that was answered on the connection is up any more, so that it may become idle.
+    LastCallEnded,
 }
 
 /// State of one connection that is shared with the other tasks.
@@ -39,8 +41,8 @@
     pub is_write_blocked: bool,
     /// It has open set-ups or a partial message, so that it may not be closed to free a descriptor.
     pub is_busy: bool,
-    /// Calls answered on it are still up.
-    pub has_calls: bool,
+    /// Calls that were answered on it and are up.
+    answered_calls: HashSet<CallName>,
     /// It was asked to close and has not handled that yet.
     pub close_requested: bool,
 }
@@ -55,10 +57,15 @@
             is_unresponsive: false,
             is_write_blocked: false,
             is_busy: false,
-            has_calls: false,
+            answered_calls: HashSet::new(),
             close_requested: false,
         }
     }
+
+    /// Whether calls that were answered on it are up. Their releases are due on it.
+    pub fn has_calls(&self) -> bool {
+        !self.answered_calls.is_empty()
+    }
 }
 
 /// The open connections, and the releases queued for the next one.
@@ -66,6 +73,8 @@
 pub struct ConnectionRegistry {
     last_number: u64,
     connections: BTreeMap<u64, Entry>,
+    /// The open connection on which each call that is up was answered.
+    connection_by_call: HashMap<CallName, u64>,
     /// Number of connections that are shut for writing and still read for a short time.
     pub lingering: usize,
     queued_releases: VecDeque<(Instant, Release)>,
@@ -89,10 +98,35 @@
         self.connections.get_mut(&number)
     }
 
-    /// Removes a closed connection; `lingers` if its socket is still read for a short time.
-    pub fn remove(&mut self, number: u64, lingers: bool) {
-        self.connections.remove(&number);
+    /// Removes a closed connection; `lingers` if its socket is still read for a short time. Returns the number of calls
+    /// that were answered on it and are up.
+    pub fn remove(&mut self, number: u64, lingers: bool) -> usize {
         self.lingering += usize::from(lingers);
+        let Some(entry) = self.connections.remove(&number) else { return 0 };
+        for call in &entry.answered_calls {
+            self.connection_by_call.remove(call);
+        }
+        entry.answered_calls.len()
+    }
+
+    /// Records that a call was answered on a connection.
+    fn call_answered(&mut self, call: CallName, number: u64) {
+        self.call_ended(call);
+        if let Some(entry) = self.connections.get_mut(&number) {
+            entry.answered_calls.insert(call);
+            self.connection_by_call.insert(call, number);
+        }
+    }
+
+    /// Records the end of a call, and tells the connection on which it was answered if that was its last one.
+    pub fn call_ended(&mut self, call: CallName) {
+        let Some(number) = self.connection_by_call.remove(&call) else { return };
+        let Some(entry) = self.connections.get_mut(&number) else { return };
+        entry.answered_calls.remove(&call);
+        if !entry.has_calls() {
+            // A connection whose queue is full is in use, and sees that it has no calls after its next command.
+            let _ = entry.sender.try_send(Command::LastCallEnded);
+        }
     }
 
     /// Number of descriptors used by connections.
@@ -110,12 +144,20 @@
             | ToFront::Media(origin, ..) => Some(*origin),
             ToFront::Release(origin, ..) => *origin,
         };
+        if let ToFront::Release(_, call, _) = &message {
+            self.call_ended(*call);
+        }
         let own = origin.and_then(|o| self.connections.get(&o.0));
         // A release is not sent first on an unresponsive connection, where it would only wait to be repeated.
         let is_release = matches!(message, ToFront::Release(..));
         let own = own.filter(|entry| !is_release || !entry.is_unresponsive);
         let message = match own.map(|e| e.sender.try_send(Command::FromCore(message.clone()))) {
-            Some(Ok(())) => return None,
+            Some(Ok(())) => {
+                if let ToFront::Answer(origin, call, _) = message {
+                    self.call_answered(call, origin.0);
+                }
+                return None;
+            }
             _ => message,
         };
         let ToFront::Release(_, call, cause) = message else { return Some(message) };
@@ -172,12 +214,12 @@
         false
     }
 
-    /// Asks `count` connections that are not busy to close: first those without answered calls, and of these the
-    /// least recently used.
+    /// Asks `count` connections that are not busy to close: first those without answered calls, then those that are
+    /// unresponsive, and of these the least recently used. The releases of their calls go to other connections.
     pub fn close_idle(&mut self, count: usize) {
         let mut idle: Vec<&mut Entry> =
             self.connections.values_mut().filter(|e| !e.is_busy && !e.close_requested).collect();
-        idle.sort_by_key(|e| (e.has_calls, e.last_used));
+        idle.sort_by_key(|e| (e.has_calls(), !e.is_unresponsive, e.last_used));
         for entry in idle.into_iter().take(count) {
             entry.close_requested = entry.sender.try_send(Command::CloseIdle).is_ok();
         }
--- a/src/net/sip_server/registry/tests.rs
+++ b/src/net/sip_server/registry/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::core::{CallName, Cause, Origin};
+use crate::core::{CallName, Cause, Description, Origin};
 
 /// Creates a registry with connections 1 to `connections`, each last read from later than the one before it.
 fn registry(connections: u64) -> (ConnectionRegistry, Vec<mpsc::Receiver<Command>>) {
@@ -109,7 +109,7 @@
 #[test]
 fn idle_connections_without_calls_are_closed_first_and_asked_once() {
     let (mut registry, mut receivers) = registry(4);
-    registry.entry(1).expect("open").has_calls = true;
+    registry.call_answered(CallName(1), 1);
     registry.entry(2).expect("open").is_busy = true;
     let asked_to_close = |receivers: &mut Vec<mpsc::Receiver<Command>>| -> Vec<bool> {
         receivers.iter_mut().map(|c| matches!(c.try_recv(), Ok(Command::CloseIdle))).collect()
@@ -121,3 +121,31 @@
     registry.close_idle(2);
     assert_eq!(asked_to_close(&mut receivers), [false; 4]);
 }
+
+#[test]
+fn a_connection_is_told_once_when_the_last_call_answered_on_it_has_ended() {
+    let (mut registry, mut receivers) = registry(2);
+    let answer = |call| ToFront::Answer(Origin(1), CallName(call), Description::default());
+    assert!(registry.route(answer(1)).is_none() && registry.route(answer(2)).is_none());
+    while receivers[0].try_recv().is_ok() {}
+    registry.call_ended(CallName(1));
+    registry.call_ended(CallName(1));
+    assert!(registry.entry(1).expect("open").has_calls());
+    registry.entry(1).expect("open").is_unresponsive = true;
+    registry.route(release_from_core(1, 2));
+    assert!(!registry.entry(1).expect("open").has_calls(), "its release went to the other connection");
+    assert!(matches!(receivers[0].try_recv(), Ok(Command::LastCallEnded)));
+    assert!(receivers[0].try_recv().is_err());
+    assert_eq!(receivers_of_releases(&mut receivers), [2]);
+}
+
+#[test]
+fn a_call_answered_again_under_its_id_belongs_to_the_later_connection() {
+    let (mut registry, _receivers) = registry(2);
+    registry.call_answered(CallName(1), 1);
+    registry.call_answered(CallName(1), 2);
+    let mut has_calls = |number| registry.entry(number).expect("open").has_calls();
+    assert_eq!((has_calls(1), has_calls(2)), (false, true));
+    assert_eq!((registry.remove(1, false), registry.remove(2, false)), (0, 1));
+    assert!(registry.connection_by_call.is_empty());
+}
--- a/tests/common/sip_test_server.rs
+++ b/tests/common/sip_test_server.rs
@@ -38,13 +38,18 @@
 impl TestServer {
     /// Starts a server on a free port.
     pub async fn start() -> TestServer {
+        TestServer::start_with_descriptors(1024).await
+    }
+
+    /// Like [`TestServer::start`], with a maximum number of descriptors.
+    pub async fn start_with_descriptors(sockets: usize) -> TestServer {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
         let (core, inputs) = mpsc::channel(INPUT_QUEUE_CAPACITY);
         let (messages, to_front) = mpsc::channel(FRONT_QUEUE_CAPACITY);
         let (sender, status) = watch::channel(Status { ready: true, ..Status::default() });
         let outstanding = SharedCount::default();
-        let (id, sockets, clock) = (FrontId(0), 1024, Clock::system());
+        let (id, clock) = (FrontId(0), Clock::system());
         let config =
             sip_server::Config { id, sockets, clock, core, status, outstanding: outstanding.clone() };
         tokio::spawn(sip_server::run(config, listener, to_front));
--- /dev/null
+++ b/tests/quiet_callers.rs
@@ -0,0 +1,122 @@
+//! Tests with callers that keep a connection open and send nothing while a call of theirs is up. The connection has to
+//! stay open for the call's release, and has to be closed once nothing more is due on it.
+
+#[path = "common/caller_connection.rs"]
+mod caller_connection;
+#[path = "common/peers.rs"]
+mod peers;
+#[path = "common/scripted_hub.rs"]
+mod scripted_hub;
+#[path = "common/sip_test_server.rs"]
+mod sip_test_server;
+#[path = "common/site_config.rs"]
+mod site_config;
+
+use caller_connection::CallerConnection;
+use petreldock::net::binary::{code, kind};
+use sip_test_server::{request, TestServer};
+use std::time::{Duration, Instant};
+
+/// Time after the hub's release within which the caller must receive its BYE.
+const MAX_RELEASE_DELAY: Duration = Duration::from_secs(1);
+/// A quiet time that is longer than any timeout of a connection.
+const LONG_QUIET_TIME: Duration = Duration::from_secs(3_600);
+/// A quiet time after which a connection without calls has been closed.
+const IDLE_TIME: Duration = Duration::from_secs(6);
+/// Time that real sockets need between two steps of a test.
+const SETTLE_TIME: Duration = Duration::from_millis(50);
+
+/// Advances the runtime's clock, and lets the connections' tasks handle the timeouts that have passed.
+async fn let_pass(time: Duration) {
+    tokio::time::pause();
+    tokio::time::advance(time).await;
+    for _ in 0..100 {
+        tokio::task::yield_now().await;
+    }
+    tokio::time::resume();
+}
+
+// Guards against a release that was lost because a connection with a standing call was closed as idle after 30 s.
+#[tokio::test]
+async fn a_call_is_released_on_a_connection_that_was_quiet_for_an_hour() {
+    let mut server = TestServer::start().await;
+    let mut caller = CallerConnection::connect(&server).await;
+    let origin = server.establish_call(&mut caller, 1, 0).await;
+    caller.read_for(SETTLE_TIME).await;
+    for _ in 0..3 {
+        let_pass(LONG_QUIET_TIME / 3).await;
+        caller.read_for(SETTLE_TIME).await;
+    }
+    assert!(!caller.is_closed, "closed although a call answered on it is up");
+    let released = server.release(origin, 1).await;
+    caller.read_byes(1).await;
+    assert!(caller.byes[0].1.saturating_duration_since(released) < MAX_RELEASE_DELAY);
+    let_pass(IDLE_TIME).await;
+    caller.read_close().await;
+}
+
+// Guards against a BYE for a call of another connection being counted as the end of a call of this one.
+#[test]
+fn a_bye_for_a_call_of_another_connection_leaves_a_quiet_connection_with_a_call_open() {
+    use peers::{Caller, Program, Received};
+    let mut hub = scripted_hub::ScriptedHub::new();
+    let program = Program::start(&[hub.target(0)], None, None);
+    let mut set_up = |call: u64| {
+        let mut caller = Caller::connect(program.address);
+        caller.invite(call, 1_500, 0);
+        let set_up = hub.wait_for_set_up(call, 1);
+        hub.answer(&set_up);
+        assert_eq!(scripted_hub::answer_status(&mut caller, call), 200);
+        (caller, set_up.connection)
+    };
+    let (mut quiet, hub_connection) = set_up(0xa1);
+    let (other, _) = set_up(0xb1);
+    quiet.send("BYE", 0xb1, "", b"");
+    drop(other);
+    let end = Instant::now() + IDLE_TIME;
+    while Instant::now() < end {
+        assert!(quiet.receive(), "closed although its call is up");
+    }
+    let released = Instant::now();
+    hub.send(hub_connection, kind::RELEASE, 0xa1, &[(code::CAUSE, &[16])]);
+    quiet.wait_for("the release", |message| *message == Received::Bye(0xa1, 16));
+    assert!(released.elapsed() < MAX_RELEASE_DELAY);
+}
+
+// Guards against connections that are kept open for calls that have ended elsewhere.
+#[tokio::test]
+async fn a_quiet_connection_is_closed_once_its_last_call_has_ended_on_another_one() {
+    let mut server = TestServer::start().await;
+    let mut quiet = CallerConnection::connect(&server).await;
+    server.establish_call(&mut quiet, 1, 0).await;
+    server.establish_call(&mut quiet, 2, 0).await;
+    let_pass(LONG_QUIET_TIME).await;
+    let mut other = CallerConnection::connect(&server).await;
+    other.send(&request("BYE", 1));
+    other.read_for(SETTLE_TIME).await;
+    let_pass(IDLE_TIME).await;
+    quiet.read_for(SETTLE_TIME).await;
+    assert!(!quiet.is_closed, "one of its calls is still up");
+    let mut other = CallerConnection::connect(&server).await;
+    other.send(&request("BYE", 2));
+    other.read_for(SETTLE_TIME).await;
+    assert!(!quiet.is_closed, "its caller may use it for another call");
+    let_pass(IDLE_TIME).await;
+    quiet.read_close().await;
+}
+
+// Guards against a connection that is kept open because its release went to another one.
+#[tokio::test]
+async fn an_unresponsive_connection_is_closed_once_its_calls_were_released_on_another_one() {
+    let mut server = TestServer::start().await;
+    let mut unresponsive = CallerConnection::connect(&server).await;
+    let origin = server.establish_call(&mut unresponsive, 1, 0).await;
+    server.establish_call(&mut unresponsive, 2, 0).await;
+    let mut other = CallerConnection::connect(&server).await;
+    server.release(origin, 1).await;
+    other.read_byes(1).await;
+    server.release(origin, 2).await;
+    other.read_byes(2).await;
+    let_pass(IDLE_TIME).await;
+    unresponsive.read_close().await;
+}
--- a/tests/unresponsive_callers.rs
+++ b/tests/unresponsive_callers.rs
@@ -1,6 +1,8 @@
 //! Tests with callers whose connections stay open although their machine failed or their network was cut. A release
 //! written to such a connection is lost, and must be sent on another connection within 1 s of the hub's release.
 
+#[path = "common/caller_connection.rs"]
+mod caller_connection;
 #[path = "common/peers.rs"]
 mod peers;
 #[path = "common/scripted_hub.rs"]
@@ -10,128 +12,16 @@
 #[path = "common/site_config.rs"]
 mod site_config;
 
-use bytes::Bytes;
-use petreldock::core::{CallName, Cause, Description, Origin, ToFront};
+use caller_connection::{CallerConnection, MILLISECOND};
+use petreldock::core::Origin;
 use petreldock::net::binary::{code, kind};
-use petreldock::net::sip::{self, StartLine};
-use petreldock::net::SDP;
 use sip_test_server::{request, TestServer};
-use std::io::{Read, Write};
-use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
 /// Time after the hub's release within which the caller must receive its BYE.
 const MAX_RELEASE_DELAY: Duration = Duration::from_secs(1);
 /// Time after which no further repeat is expected; longer than any repeat takes.
 const SETTLE_TIME: Duration = Duration::from_millis(1_500);
-const MILLISECOND: Duration = Duration::from_millis(1);
-const CAUSE: Cause = Cause(16);
-
-/// One caller connection, which is read only when the test calls for it.
-struct CallerConnection {
-    stream: TcpStream,
-    input: Vec<u8>,
-    /// Whether each BYE that is read is answered at once.
-    answers_byes: bool,
-    /// The calls of the BYEs received, and when they were read.
-    byes: Vec<(u64, Instant)>,
-    /// Number of responses received.
-    responses: usize,
-}
-
-impl CallerConnection {
-    /// Connects, and waits until the server has answered an OPTIONS on the connection.
-    async fn connect(server: &TestServer) -> CallerConnection {
-        let stream = server.connect_caller(false).await;
-        CallerConnection { stream, input: Vec::new(), answers_byes: true, byes: Vec::new(), responses: 0 }
-    }
-
-    fn send(&mut self, text: &str) {
-        self.stream.write_all(text.as_bytes()).expect("room");
-    }
-
-    fn answer_bye(&mut self, call: u64) {
-        self.send(&format!(
-            "SIP/2.0 200 OK\r\nVia: x\r\nCall-ID: {call:016x}\r\nCSeq: 1 BYE\r\nContent-Length: 0\r\n\r\n"
-        ));
-    }
-
-    /// Reads and handles the available data.
-    fn read_available(&mut self) {
-        let mut bytes = [0; 16 * 1024];
-        while let Ok(count @ 1..) = self.stream.read(&mut bytes) {
-            self.input.extend_from_slice(&bytes[..count]);
-        }
-        let (mut used, mut calls) = (0, Vec::new());
-        while let Ok(Some(message)) = sip::parse(&self.input[used..]) {
-            match message.start {
-                StartLine::Request("BYE", _) => {
-                    let id = message.header("Call-ID").expect("a call");
-                    calls.push(u64::from_str_radix(id, 16).expect("a number"));
-                }
-                StartLine::Request(..) => panic!("nothing but BYE is sent to callers"),
-                StartLine::Response(_) => self.responses += 1,
-            }
-            used += message.bytes;
-        }
-        self.input.drain(..used);
-        for call in calls {
-            self.byes.push((call, Instant::now()));
-            if self.answers_byes {
-                self.answer_bye(call);
-            }
-        }
-    }
-
-    /// Reads for the given time.
-    async fn read_for(&mut self, time: Duration) {
-        let end = Instant::now() + time;
-        while Instant::now() < end {
-            self.read_available();
-            tokio::time::sleep(MILLISECOND).await;
-        }
-    }
-
-    /// Reads until `count` BYEs have been received in all.
-    async fn read_byes(&mut self, count: usize) {
-        let end = Instant::now() + sip_test_server::WAIT_TIMEOUT;
-        while self.byes.len() < count {
-            assert!(Instant::now() < end, "{} of {count} BYEs received", self.byes.len());
-            self.read_available();
-            tokio::time::sleep(MILLISECOND).await;
-        }
-    }
-
-    fn bye_calls(&self) -> Vec<u64> {
-        self.byes.iter().map(|(call, _)| *call).collect()
-    }
-}
-
-impl TestServer {
-    /// Sets up and answers a call on a connection, with a description of `length` bytes. The caller does not read the
-    /// answer.
-    async fn establish_call(&mut self, caller: &mut CallerConnection, call: u64, length: usize) -> Origin {
-        caller.send(&request("INVITE", call));
-        let offer = self.next_offer().await;
-        let description = Description { format: SDP, bytes: Bytes::from(vec![b'v'; length]) };
-        let answer = ToFront::Answer(offer.origin, offer.call, description);
-        self.messages.send(answer).await.expect("taken");
-        offer.origin
-    }
-
-    /// Has the core release a call, as after the hub's release, and returns the time.
-    async fn release(&mut self, origin: Origin, call: u64) -> Instant {
-        let now = Instant::now();
-        let release = ToFront::Release(Some(origin), CallName(call), CAUSE);
-        self.messages.send(release).await.expect("taken");
-        now
-    }
-
-    /// Waits until the server has processed what was sent to it.
-    async fn settle(&self) {
-        tokio::time::sleep(Duration::from_millis(50)).await;
-    }
-}
 
 fn assert_in_time(released: Instant, received: Instant) {
     let took = received.saturating_duration_since(released);
