Don't evict a caller that has just connected because all others have calls

What callers saw: with the descriptors for callers three quarters used by connections with calls that are up, a new caller's connection was closed before its first set-up, each time.

Cause: net/sip_server/registry.rs, close_idle evicts connections without calls first, and the server evicts one before each accept: the only one without a call is the one accepted just before.

Ruled out: the new idle rule (it failed the same way without it).

Change: a rank for eviction: without calls, unresponsive with calls, with calls, and last those without calls used within 100 ms, the longest round trip that the release tracker counts with.

A unit test of the registry now says that its four connections are idle, as its name does: they were new, which is another rank now. Its assertions are unchanged, and a second test checks the order of the ranks.

--- a/src/net/sip_server/registry.rs
+++ b/src/net/sip_server/registry.rs
@@ -16,6 +16,23 @@
 /// Age at which a queued release is dropped, once another one is queued.
 const QUEUED_RELEASE_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Time after its last use in which a connection without calls is not evicted before those with calls. A caller that
+/// has just connected is about to send its first request, and one that was just answered may send the next.
+const RECENT_USE: Duration = Duration::from_millis(100);
+
+/// How soon an idle connection is closed when descriptors are short, the first one first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum EvictionRank {
+    /// Nothing is due on it.
+    WithoutCalls,
+    /// The releases of its calls are sent on other connections anyway.
+    Unresponsive,
+    /// The releases of its calls would have to be sent on other connections.
+    WithCalls,
+    /// A request is likely to be on its way to it.
+    RecentlyUsed,
+}
+
 /// A command to a connection's task.
 pub enum Command {
     /// A message from the core for a caller whose set-up came on this connection.
@@ -66,6 +83,15 @@
     pub fn has_calls(&self) -> bool {
         !self.answered_calls.is_empty()
     }
+
+    fn eviction_rank(&self) -> EvictionRank {
+        match (self.has_calls(), self.is_unresponsive) {
+            (true, true) => EvictionRank::Unresponsive,
+            (true, false) => EvictionRank::WithCalls,
+            (false, _) if self.last_used.elapsed() < RECENT_USE => EvictionRank::RecentlyUsed,
+            (false, _) => EvictionRank::WithoutCalls,
+        }
+    }
 }
 
 /// The open connections, and the releases queued for the next one.
@@ -214,12 +240,12 @@
         false
     }
 
-    /// Asks `count` connections that are not busy to close: first those without answered calls, then those that are
-    /// unresponsive, and of these the least recently used. The releases of their calls go to other connections.
+    /// Asks `count` connections that are not busy to close, in the order of their [`EvictionRank`] and, of one rank, the
+    /// least recently used first. The releases of their calls go to other connections.
     pub fn close_idle(&mut self, count: usize) {
         let mut idle: Vec<&mut Entry> =
             self.connections.values_mut().filter(|e| !e.is_busy && !e.close_requested).collect();
-        idle.sort_by_key(|e| (e.has_calls(), !e.is_unresponsive, e.last_used));
+        idle.sort_by_cached_key(|e| (e.eviction_rank(), e.last_used));
         for entry in idle.into_iter().take(count) {
             entry.close_requested = entry.sender.try_send(Command::CloseIdle).is_ok();
         }
--- a/src/net/sip_server/registry/tests.rs
+++ b/src/net/sip_server/registry/tests.rs
@@ -109,6 +109,10 @@
 #[test]
 fn idle_connections_without_calls_are_closed_first_and_asked_once() {
     let (mut registry, mut receivers) = registry(4);
+    let idle_since = Instant::now() - RECENT_USE;
+    for number in 1..=4 {
+        registry.entry(number).expect("open").last_used = idle_since;
+    }
     registry.call_answered(CallName(1), 1);
     registry.entry(2).expect("open").is_busy = true;
     let asked_to_close = |receivers: &mut Vec<mpsc::Receiver<Command>>| -> Vec<bool> {
@@ -149,3 +153,22 @@
     assert_eq!((registry.remove(1, false), registry.remove(2, false)), (0, 1));
     assert!(registry.connection_by_call.is_empty());
 }
+
+#[test]
+fn unresponsive_connections_are_evicted_before_quiet_ones_and_those_just_opened_last() {
+    let (mut registry, mut receivers) = registry(4);
+    let idle_since = Instant::now() - RECENT_USE;
+    for (number, used_later) in [(1, 0), (2, 1), (3, 2)] {
+        registry.entry(number).expect("open").last_used = idle_since + Duration::from_millis(used_later);
+        registry.call_answered(CallName(number), number);
+    }
+    registry.entry(2).expect("open").is_unresponsive = true;
+    registry.entry(4).expect("open").last_used = Instant::now() + Duration::from_secs(60);
+    let mut order = Vec::new();
+    for _ in 0..4 {
+        registry.close_idle(1);
+        let asked = receivers.iter_mut().position(|c| matches!(c.try_recv(), Ok(Command::CloseIdle)));
+        order.push(asked.expect("one is asked") + 1);
+    }
+    assert_eq!(order, [2, 1, 3, 4]);
+}
--- a/tests/quiet_callers.rs
+++ b/tests/quiet_callers.rs
@@ -13,6 +13,7 @@
 mod site_config;
 
 use caller_connection::CallerConnection;
+use petreldock::core::Origin;
 use petreldock::net::binary::{code, kind};
 use sip_test_server::{request, TestServer};
 use std::time::{Duration, Instant};
@@ -120,3 +121,37 @@
     let_pass(IDLE_TIME).await;
     unresponsive.read_close().await;
 }
+
+// Guards against quiet connections with calls that use up the descriptors, and against new callers that are shut out
+// because theirs are the only connections without a call.
+#[tokio::test]
+async fn quiet_connections_with_calls_are_closed_when_descriptors_run_short_and_released_elsewhere() {
+    const DESCRIPTORS: usize = 64;
+    const CALLERS: u64 = 60;
+    let mut server = TestServer::start_with_descriptors(DESCRIPTORS).await;
+    let mut callers: Vec<(u64, CallerConnection, Origin)> = Vec::new();
+    for call in 1..=CALLERS {
+        let mut caller = CallerConnection::connect(&server).await;
+        let origin = server.establish_call(&mut caller, call, 0).await;
+        callers.push((call, caller, origin));
+    }
+    let_pass(LONG_QUIET_TIME).await;
+    let mut newest = CallerConnection::connect(&server).await;
+    for (_, caller, _) in &mut callers {
+        caller.read_available();
+    }
+    let open: Vec<u64> = callers.iter().filter(|c| !c.1.is_closed).map(|c| c.0).collect();
+    assert!(open.len() < DESCRIPTORS / 2, "{} connections are open", open.len());
+    assert!(open.len() > DESCRIPTORS / 4, "only {} connections are open", open.len());
+    assert_eq!(open, (CALLERS + 1 - open.len() as u64..=CALLERS).collect::<Vec<_>>(), "the latest ones");
+    // The call of a closed connection is released on the one that was last read from.
+    let (call, _, origin) = &callers[0];
+    let released = server.release(*origin, *call).await;
+    newest.read_byes(1).await;
+    assert_eq!(newest.bye_calls(), [1]);
+    assert!(newest.byes[0].1.saturating_duration_since(released) < MAX_RELEASE_DELAY);
+    // The call of an open one is released there.
+    let (call, caller, origin) = callers.last_mut().expect("some");
+    server.release(*origin, *call).await;
+    caller.read_byes(1).await;
+}
