Read a late change log's response however late it is, and poll beside it

Cause: net/change_log_poller.rs hung up 0.75 s after the hold, each time, and so never read a response that is later; the same for a dial, for a pause within a response and for a response of over 3 s.

Evidence: every poll ends with 'response after 751 ms, 0 of them requested: timed out' at seq=1, while the change log wrote 28 answers to 29 requests. Ruled out: a failed dial (another stage), an unreadable response (another error), an event not applied (seq stays 1), slow retries (0.25 s apart at most).

Change: an overdue poll is not dropped; another one starts beside it, and the first response counts. At most five polls, 60 s each. What a response without events shows of the lateness is taken off the publication time of later events, as a drain counts from its publication. The module is split into the poller, one poll, and the times of publication.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -57,6 +57,8 @@
 pub static HUBS_DEAD: Counter = Counter::new();
 /// Callers' connections that the server closed while calls answered on them were up.
 pub static CALLER_CONNECTIONS_CLOSED_WITH_CALLS: Counter = Counter::new();
+/// Polls of the change log that took longer than expected.
+pub static CHANGE_LOG_POLLS_OVERDUE: Counter = Counter::new();
 /// Polls of the change log that failed.
 pub static CHANGE_LOG_POLL_FAILURES: Counter = Counter::new();
 /// Releases that were written to callers' connections.
@@ -82,6 +84,7 @@
         hub_connections_lost = HUB_CONNECTIONS_LOST.get(),
         hubs_dead = HUBS_DEAD.get(),
         caller_connections_closed_with_calls = CALLER_CONNECTIONS_CLOSED_WITH_CALLS.get(),
+        change_log_polls_overdue = CHANGE_LOG_POLLS_OVERDUE.get(),
         change_log_poll_failures = CHANGE_LOG_POLL_FAILURES.get(),
         releases_sent = RELEASES_SENT.get(),
         releases_repeated = RELEASES_REPEATED.get(),
--- a/src/net/change_log_poller/tests.rs
+++ b/src/net/change_log_poller/tests.rs
@@ -17,13 +17,10 @@
             shortest(failures) < longest(failures),
             "controllers that failed together retry at random times"
         );
-        assert!(
-            shortest(failures) >= Duration::from_micros(INITIAL_RETRY_DELAY.0) / 2,
-            "no tight loop of retries"
-        );
+        assert!(shortest(failures) >= INITIAL_RETRY_DELAY / 2, "no tight loop of retries");
     }
     assert!(
-        IO_TIMEOUT + MAX_RETRY_DELAY <= Duration::from_secs(2) / 2,
+        poll::IO_TIMEOUT + MAX_RETRY_DELAY <= Duration::from_secs(2) / 2,
         "a dial that times out and one delay take at most half of the grace"
     );
 }
--- a/tests/common/peers.rs
+++ b/tests/common/peers.rs
@@ -557,6 +557,11 @@
     /// Starts a change log whose next event is number 2, as event 1 is in the configuration. It closes every connection
     /// after `polls_per_connection` responses.
     pub fn start(polls_per_connection: usize) -> ChangeLog {
+        ChangeLog::start_late(polls_per_connection, Duration::ZERO)
+    }
+
+    /// Like [`ChangeLog::start`], with every response later than a prompt one.
+    pub fn start_late(polls_per_connection: usize, lateness: Duration) -> ChangeLog {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let change_log = ChangeLog {
             address: listener.local_addr().expect("an address"),
@@ -567,7 +572,7 @@
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let (events, polls) = (events.clone(), polls.clone());
-                thread::spawn(move || serve_polls(stream, polls_per_connection, &events, &polls));
+                thread::spawn(move || serve_polls(stream, polls_per_connection, lateness, &events, &polls));
             }
         });
         change_log
@@ -585,6 +590,7 @@
 fn serve_polls(
     mut stream: TcpStream,
     polls_per_connection: usize,
+    lateness: Duration,
     events: &Mutex<Vec<String>>,
     polls: &Mutex<Vec<u64>>,
 ) {
@@ -610,6 +616,7 @@
             }
             thread::sleep(Duration::from_millis(5));
         };
+        thread::sleep(lateness);
         let last = since + new_events.len() as u64;
         let body = format!(r#"{{"seq":{last},"results":[{}]}}"#, new_events.join(","));
         let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -154,6 +154,29 @@
     hub.wait_for(0xe1, HubEvent::Release(16));
 }
 
+// Guards against a change log that is never heard because it is later than the poller's fixed limit.
+#[test]
+fn drain_in_a_late_change_log_moves_calls_to_another_hub() {
+    let record = HubRecord::default();
+    let hubs = [Hub::start(0, HubBehavior::Answer, &record), Hub::start(1, HubBehavior::Answer, &record)];
+    let change_log = ChangeLog::start_late(1000, Duration::from_secs(1));
+    let program = Program::start(&targets(&[&hubs[0], &hubs[1]]), Some(change_log.address), None);
+    let mut caller = Caller::connect(program.address);
+    caller.invite(0xc0, 3000, 0);
+    assert_eq!(status(&mut caller, 0xc0), 200);
+    assert_eq!(hubs[0].events_of(0xc0), [HubEvent::SetUp, HubEvent::Answered]);
+    change_log.append_event(&[site_config::target("s-0", &hubs[0].address.to_string(), 0, "terminating")]);
+    wait_until("the poller has the event", || {
+        change_log.polls.lock().expect("lock").contains(&2).then_some(())
+    });
+    std::thread::sleep(Duration::from_millis(2100));
+    for call in 0xc1..0xc9 {
+        caller.invite(call, 3000, 0);
+        assert_eq!(status(&mut caller, call), 200);
+        assert!(hubs[0].events_of(call).is_empty(), "no set-up after the grace period of the drain");
+    }
+}
+
 #[test]
 fn change_log_drain_moves_calls_to_another_hub() {
     let record = HubRecord::default();
