Keep the releases of callers that are away until one connects

What callers saw: nothing of calls that ended while all of them were away, or behind a silent connection, for more than 10 s.

Cause: registry.rs dropped queued releases after 10 s (QUEUED_RELEASE_TIMEOUT) once another was queued, and release_tracker.rs a BYE that no connection had taken for 10 s (UNDELIVERED_TIMEOUT).

Change: the queue is bounded by number alone; a BYE that nobody took for 10 s moves to that queue and is not retried every 0.1 s any more.

--- a/src/net/sip_server/connection.rs
+++ b/src/net/sip_server/connection.rs
@@ -318,10 +318,13 @@
         entry.has_calls()
     }
 
-    /// Sends overdue releases on other connections.
+    /// Sends overdue releases on other connections, or leaves them for the next one that opens.
     fn repeat_overdue_releases(&mut self) {
         let mut registry = self.server.registry();
         self.releases.check(Instant::now(), |release| registry.repeat(release));
+        for release in self.releases.take_undelivered() {
+            registry.queue(release);
+        }
     }
 
     /// Reads the socket before a timeout is enforced or the connection is evicted. It yields first: the runtime may
--- a/src/net/sip_server/registry.rs
+++ b/src/net/sip_server/registry.rs
@@ -13,9 +13,6 @@
 const MAX_QUEUED_COMMANDS: usize = 2 * MAX_OPEN_SET_UPS;
 /// Maximum number of releases queued while no connection can take them.
 const MAX_QUEUED_RELEASES: usize = 8192;
-/// Age at which a queued release is dropped, once another one is queued.
-const QUEUED_RELEASE_TIMEOUT: Duration = Duration::from_secs(10);
-
 /// Time after its last use in which a connection without calls is not evicted before those with calls. A caller that
 /// has just connected is about to send its first request, and one that was just answered may send the next.
 const RECENT_USE: Duration = Duration::from_millis(100);
@@ -103,7 +100,7 @@
     connection_by_call: HashMap<CallName, u64>,
     /// Number of connections that are shut for writing and still read for a short time.
     pub lingering: usize,
-    queued_releases: VecDeque<(Instant, Release)>,
+    queued_releases: VecDeque<Release>,
 }
 
 impl ConnectionRegistry {
@@ -113,7 +110,7 @@
         let (sender, commands) = mpsc::channel(MAX_QUEUED_COMMANDS);
         self.last_number += 1;
         self.connections.insert(self.last_number, Entry::new(sender));
-        for (_, release) in std::mem::take(&mut self.queued_releases) {
+        for release in std::mem::take(&mut self.queued_releases) {
             self.release(release);
         }
         (self.last_number, commands)
@@ -196,20 +193,17 @@
         if self.release_on(&release, |_| true) {
             return;
         }
-        // The queue is ordered by age, the oldest first.
-        while self.queued_releases.front().is_some_and(|(since, _)| since.elapsed() >= QUEUED_RELEASE_TIMEOUT)
-        {
-            let lost = self.queued_releases.pop_front();
-            metrics::RELEASES_LOST.increment();
-            if let Some((_, release)) = lost {
-                tracing::warn!(call = %release.call, "release lost: no caller connected");
-            }
-        }
         tracing::debug!(call = %release.call, parked = self.queued_releases.len(), "release queued: no caller connected");
+        self.queue(release);
+    }
+
+    /// Queues a release for the next connection that opens, however long that takes.
+    pub fn queue(&mut self, release: Release) {
         if self.queued_releases.len() < MAX_QUEUED_RELEASES {
-            self.queued_releases.push_back((Instant::now(), release));
+            self.queued_releases.push_back(release);
         } else {
             metrics::RELEASES_LOST.increment();
+            tracing::warn!(call = %release.call, "release lost: too many are queued");
         }
     }
 
--- a/src/net/sip_server/release_tracker.rs
+++ b/src/net/sip_server/release_tracker.rs
@@ -35,7 +35,8 @@
 pub const MAX_TRACKED_RELEASES: usize = 8192;
 /// Age up to which a BYE without a 200 is sent again when its connection closes, even if the connection worked.
 pub const RESEND_ON_CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
-/// Age at which a BYE that no connection could take is dropped.
+/// Age at which a BYE that no connection could take is left for the next connection that opens, and is not tried again
+/// every [`RETRY_INTERVAL`].
 pub const UNDELIVERED_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// The release of one call to its caller.
@@ -86,6 +87,8 @@
     /// BYEs that are sent again only if the connection closes soon: bytes were read after they were written, or they
     /// were repeated often enough.
     resend_on_close: VecDeque<UnconfirmedBye>,
+    /// Releases for the next connection that opens.
+    undelivered: Vec<Release>,
     /// No check is made before this time.
     not_before: Option<Instant>,
     /// A BYE was overdue and nothing has been read since.
@@ -101,6 +104,7 @@
             read_at: None,
             unconfirmed: VecDeque::new(),
             resend_on_close: VecDeque::new(),
+            undelivered: Vec::new(),
             not_before: None,
             is_unresponsive: false,
         }
@@ -194,6 +198,11 @@
         self.not_before = Some(now + BATCH_INTERVAL);
     }
 
+    /// Takes the releases that no connection could take for [`UNDELIVERED_TIMEOUT`]. They are not tracked any more.
+    pub fn take_undelivered(&mut self) -> Vec<Release> {
+        std::mem::take(&mut self.undelivered)
+    }
+
     /// Consumes the tracker when its connection closes, and returns the releases to be sent on another one.
     pub fn on_close(self, now: Instant) -> impl Iterator<Item = Release> {
         let written = self.written;
@@ -202,12 +211,10 @@
         };
         let on_close = self.resend_on_close.into_iter().filter(is_recent_or_unwritten);
         let read_at = self.read_at;
-        let needs_resend = move |bye: &UnconfirmedBye| match bye.is_delivered_by(read_at) {
-            true => is_recent_or_unwritten(bye),
-            false => now.saturating_duration_since(bye.queued_at) < UNDELIVERED_TIMEOUT,
-        };
+        let needs_resend =
+            move |bye: &UnconfirmedBye| !bye.is_delivered_by(read_at) || is_recent_or_unwritten(bye);
         let unconfirmed = self.unconfirmed.into_iter().filter(needs_resend);
-        on_close.chain(unconfirmed).map(|bye| bye.release)
+        self.undelivered.into_iter().chain(on_close.chain(unconfirmed).map(|bye| bye.release))
     }
 
     /// Marks all BYEs that this check is the first to find overdue.
@@ -217,14 +224,13 @@
         }
     }
 
-    /// Stops repeating the oldest BYEs that were followed by a read, and drops those that no connection could take in
-    /// time.
+    /// Stops repeating the oldest BYEs that were followed by a read, and those that no connection could take in time.
     fn defer_delivered(&mut self, now: Instant) {
         while let Some(bye) = self.unconfirmed.front() {
-            if now.saturating_duration_since(bye.queued_at) >= UNDELIVERED_TIMEOUT {
-                self.unconfirmed.pop_front();
-            } else if bye.is_delivered_by(self.read_at) {
+            if bye.is_delivered_by(self.read_at) {
                 self.resend_on_close.extend(self.unconfirmed.pop_front());
+            } else if now.saturating_duration_since(bye.queued_at) >= UNDELIVERED_TIMEOUT {
+                self.undelivered.extend(self.unconfirmed.pop_front().map(|bye| bye.release));
             } else {
                 break;
             }
--- a/tests/quiet_callers.rs
+++ b/tests/quiet_callers.rs
@@ -155,3 +155,46 @@
     server.release(*origin, *call).await;
     caller.read_byes(1).await;
 }
+
+// Guards against releases that are dropped because no caller connected for 10 s.
+#[tokio::test]
+async fn releases_without_a_connection_are_kept_until_a_caller_connects() {
+    let mut server = TestServer::start().await;
+    let mut caller = CallerConnection::connect(&server).await;
+    let mut origin = Origin(0);
+    for call in 1..=3 {
+        origin = server.establish_call(&mut caller, call, 0).await;
+    }
+    caller.read_for(SETTLE_TIME).await;
+    drop(caller);
+    server.settle().await;
+    for call in 1..=3 {
+        server.release(origin, call).await;
+        server.settle().await;
+        let_pass(LONG_QUIET_TIME / 3).await;
+    }
+    let mut next = CallerConnection::connect(&server).await;
+    next.read_byes(3).await;
+    assert_eq!(next.bye_calls(), [1, 2, 3]);
+}
+
+// Guards against a release that is dropped because its connection fell silent and no other one opened for 10 s.
+#[tokio::test]
+async fn a_release_that_an_unresponsive_connection_took_is_kept_until_a_caller_connects() {
+    let mut server = TestServer::start().await;
+    let mut unresponsive = CallerConnection::connect(&server).await;
+    let origin = server.establish_call(&mut unresponsive, 1, 0).await;
+    // This one keeps the connection open.
+    server.establish_call(&mut unresponsive, 2, 0).await;
+    server.release(origin, 1).await;
+    server.settle().await;
+    for _ in 0..30 {
+        let_pass(LONG_QUIET_TIME / 30).await;
+        server.settle().await;
+    }
+    let mut next = CallerConnection::connect(&server).await;
+    next.read_byes(1).await;
+    assert_eq!(next.bye_calls(), [1]);
+    unresponsive.read_available();
+    assert!(!unresponsive.is_closed);
+}
