Fill every connection that may open before a test's calls wait behind them

Evidence (the program's log of the failed run): four calls in a row had no byte written on the three connections open; then 'connection opened connection=4 open=4', and the two calls that should have waited began on it at once. The link opens the third and fourth connection after 2.5 s without an answer, and on a busy machine the filling takes that long.

Change: the test goes on filling until four connections, the most a hub gets, have been open for all of the four calls that begin no more. What it asserts is unchanged; the program is not touched.

--- a/tests/shutdown_and_teardown.rs
+++ b/tests/shutdown_and_teardown.rs
@@ -380,11 +380,13 @@
         Program::launch(ephemeral_address(), &[hub.target(0)], None, debug, 1024, with_long_objective);
     let mut waits = Caller::connect(program.address);
     let logged = |what: &str, call: u64| program.log_contains(&format!("{what} call={call:016x}"));
-    // Fills both connections call by call, until several calls in a row are assigned and no byte of them is written.
+    // Fills all connections that the program may open, call by call, until several calls in a row are assigned and no
+    // byte of them is written. The last connection is opened only after a silence of the hub.
     let body = vec![b'v'; 15 * 1024];
     let (mut last, mut stuck) = (0x1000, 0);
     while stuck < 4 {
         last += 1;
+        let all_open = program.log_contains("connection opened link=1 connection=4 open=4");
         let more = "Call-Kind: voice\r\nAnswer-Within: 90000\r\nRouting-Data: dest:0;width:1;via:-1\r\n";
         waits.send("INVITE", last, more, &body);
         wait_until("the call is assigned to the hub", || logged("attempt sent", last).then_some(()));
@@ -392,7 +394,7 @@
         while !logged("begun", last) && sent_at.elapsed() < Duration::from_millis(200) {
             sleep(MILLISECOND);
         }
-        stuck = if logged("begun", last) { 0 } else { stuck + 1 };
+        stuck = if logged("begun", last) || !all_open { 0 } else { stuck + 1 };
         assert!(last < 0x1800, "the socket buffers never fill up");
     }
     // Two more calls wait behind these and are abandoned. The hub has read nothing, so no byte of them is written.
