Keep a connection with standing calls open when its caller pauses within a message

What callers saw: a pause of over 2 s within a message closed the connection, and the release of a call that stood on it reached nobody.

Cause: MESSAGE_TIMEOUT in net/sip_server/connection.rs closes the connection whatever is due on it.

Evidence: a_call_is_released_on_a_connection_whose_caller_paused_within_a_message failed before ('closed although calls answered on it are up'). Ruled out in its first version: a 200 that the test itself wrote into the half message.

Change: while calls answered on it are up an overdue message closes nothing. It no longer counts as outstanding, so that eviction and shutdown don't wait for it. After the last call's end the time limits start again: without that the close overtook the release that was queued behind.

--- a/src/net/sip_server/connection.rs
+++ b/src/net/sip_server/connection.rs
@@ -28,8 +28,8 @@
 /// A connection on which calls were answered that are up is never closed as idle, since its caller may have no reason to
 /// open another one for their releases. It is closed only if descriptors are short.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
-/// Time within which a message must be complete. For the first one it starts with the connection. A closing connection
-/// also has this long to write its remaining output.
+/// Time within which a message must be complete on a connection without calls. For the first one it starts with the
+/// connection. A closing connection also has this long to write its remaining output.
 const MESSAGE_TIMEOUT: Duration = Duration::from_secs(2);
 /// How long a connection that the server closes is still read after it was shut for writing. Closing a socket with
 /// unread input resets the connection, which can destroy the last response on its way to the caller.
@@ -95,6 +95,8 @@
     received_request: bool,
     /// Since when an incomplete message has been awaited; initially since the connection was accepted.
     partial_since: Option<Instant>,
+    /// The incomplete message is overdue, and the connection stays open for its calls alone.
+    partial_is_overdue: bool,
     /// When something was last read from the caller or sent to it.
     last_used: Instant,
     /// Nothing more is read, and the connection closes once the output is written.
@@ -126,6 +128,7 @@
         last_received: None,
         received_request: false,
         partial_since: Some(Instant::now()),
+        partial_is_overdue: false,
         last_used: Instant::now(),
         is_closing: false,
         pending: PendingInputs::new(&server.pending_bytes),
@@ -207,10 +210,15 @@
     fn outstanding_count(&self) -> usize {
         self.open_set_ups.len()
             + usize::from(!self.output.is_empty())
-            + usize::from(!self.input.unconsumed().is_empty())
+            + usize::from(self.awaits_rest_of_message())
             + usize::from(!self.pending.is_empty())
     }
 
+    /// Whether a message is incomplete and not overdue.
+    fn awaits_rest_of_message(&self) -> bool {
+        !self.input.unconsumed().is_empty() && !self.partial_is_overdue
+    }
+
     /// Runs the connection until it has to be closed.
     async fn run(&mut self, stream: &TcpStream, commands: &mut mpsc::Receiver<Command>) -> CloseReason {
         loop {
@@ -222,7 +230,6 @@
                 self.fail_open_set_ups().await;
             }
             let has_open = !self.open_set_ups.is_empty();
-            let has_partial = !self.input.unconsumed().is_empty();
             let message_deadline = self.partial_since.map(|since| since + MESSAGE_TIMEOUT);
             match stream.try_write(&self.output) {
                 Ok(count) => {
@@ -236,8 +243,10 @@
                 Err(_) => return CloseReason::Disconnected,
             }
             self.releases.on_written(Instant::now(), self.bytes_written);
-            let has_calls = self.publish_state(has_open || has_partial);
+            let has_calls = self.publish_state(has_open || self.awaits_rest_of_message());
             let idle_at = self.last_used + IDLE_TIMEOUT;
+            let may_time_out =
+                message_deadline.is_some() && !self.is_closing && !(has_calls && self.partial_is_overdue);
             self.outstanding_share.set(self.outstanding_count());
             if self.output.len() > MAX_OUTPUT_BYTES {
                 return CloseReason::Unread;
@@ -270,8 +279,7 @@
                         }
                     }
                     Some(Command::CloseIdle) => {}
-                    // The caller has a full idle time for its next set-up.
-                    Some(Command::LastCallEnded) => self.last_used = Instant::now(),
+                    Some(Command::LastCallEnded) => self.restart_timeouts(),
                     None => return CloseReason::Shutdown,
                 },
                 _ = tokio::time::sleep_until(idle_at), if !has_open && !has_calls => {
@@ -286,8 +294,10 @@
                 }
                 // A caller that sends nothing, or stops in the middle of a message, would hold a descriptor for ever.
                 // Its open set-ups are failed and withdrawn, so that the core does not go on working on them.
-                _ = tokio::time::sleep_until(message_deadline.unwrap_or(idle_at)), if message_deadline.is_some() && !self.is_closing => {
+                // With calls that are up the connection stays open for their releases, and a slow caller may go on.
+                _ = tokio::time::sleep_until(message_deadline.unwrap_or(idle_at)), if may_time_out => {
                     match self.yield_and_read(stream).await {
+                        ReadOutcome::NoData if has_calls => self.partial_is_overdue = true,
                         ReadOutcome::NoData => self.fail_open_set_ups().await,
                         ReadOutcome::Data => {}
                         ReadOutcome::Closed => return CloseReason::Disconnected,
@@ -306,6 +316,14 @@
         }
     }
 
+    /// Restarts the timeouts that did not apply while calls were up: the caller has a full idle time for its next set-up,
+    /// and the full time for the rest of an incomplete message.
+    fn restart_timeouts(&mut self) {
+        self.last_used = Instant::now();
+        self.partial_since = self.partial_since.map(|_| self.last_used);
+        self.partial_is_overdue = false;
+    }
+
     /// Publishes the connection's state in the registry. Returns whether calls that were answered on it are up.
     fn publish_state(&self, is_busy: bool) -> bool {
         let mut registry = self.server.registry();
@@ -425,8 +443,9 @@
             match commands.try_recv() {
                 Ok(Command::FromCore(message)) => self.handle_core_message(message).await,
                 Ok(Command::Release(release)) => self.send_release(release),
+                Ok(Command::LastCallEnded) => self.restart_timeouts(),
                 // The connection is in use.
-                Ok(Command::CloseIdle | Command::LastCallEnded) => {}
+                Ok(Command::CloseIdle) => {}
                 Err(_) => return,
             }
         }
@@ -501,6 +520,7 @@
         let since =
             self.partial_since.filter(|_| !has_complete || !self.received_request).unwrap_or(self.last_used);
         self.partial_since = (!input.unconsumed().is_empty() || !self.received_request).then_some(since);
+        self.partial_is_overdue = false;
         self.input = input;
     }
 }
--- a/tests/quiet_callers.rs
+++ b/tests/quiet_callers.rs
@@ -156,6 +156,40 @@
     caller.read_byes(1).await;
 }
 
+// Guards against a release that was lost because its connection was closed for a message that stayed incomplete for 2 s.
+#[tokio::test]
+async fn a_call_is_released_on_a_connection_whose_caller_paused_within_a_message() {
+    let mut server = TestServer::start().await;
+    let mut caller = CallerConnection::connect(&server).await;
+    let origin = server.establish_call(&mut caller, 1, 0).await;
+    server.establish_call(&mut caller, 2, 0).await;
+    caller.read_for(SETTLE_TIME).await;
+    // An answer would end up within the message.
+    caller.answers_byes = false;
+    let message = request("OPTIONS", 0);
+    let (first_part, rest) = message.split_at(message.len() / 2);
+    caller.send(first_part);
+    caller.read_for(SETTLE_TIME).await;
+    assert_eq!(server.outstanding.count(), 1, "a shutdown waits for the rest");
+    let_pass(IDLE_TIME).await;
+    caller.read_for(SETTLE_TIME).await;
+    assert!(!caller.is_closed, "closed although calls answered on it are up");
+    assert_eq!(server.outstanding.count(), 0, "a shutdown does not wait for it any more");
+    server.release(origin, 1).await;
+    caller.read_byes(1).await;
+    let responses = caller.responses;
+    caller.send(rest);
+    caller.read_for(SETTLE_TIME).await;
+    assert_eq!(caller.responses, responses + 1, "the message is read once it is complete");
+    // Without calls an incomplete message ends the connection.
+    caller.send(first_part);
+    caller.read_for(SETTLE_TIME).await;
+    let_pass(IDLE_TIME).await;
+    server.release(origin, 2).await;
+    caller.read_close().await;
+    assert_eq!(caller.bye_calls(), [1, 2]);
+}
+
 // Guards against releases that are dropped because no caller connected for 10 s.
 #[tokio::test]
 async fn releases_without_a_connection_are_kept_until_a_caller_connects() {
