Keep releases to an unreachable hub until a connection opens

Who saw what: a hub that could not be reached for over 10 s after a caller had hung up never got the release and kept the call.

Cause: net/hub.rs dropped releases that had waited 10 s for a connection (WAITING_RELEASE_TIMEOUT).

Evidence: a_release_is_delivered_to_a_hub_that_was_unreachable_for_a_minute failed before: dialled again, no release in 20 s. Ruled out: the dial (the connection came up), the hub's death (it does not clear what waits).

Change: they are kept, 8,192 a hub. Only the first 10 s make a dial urgent and delay a shutdown, as before.

--- a/src/net/hub.rs
+++ b/src/net/hub.rs
@@ -72,8 +72,11 @@
 const SCARCE_IDLE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Interval of the checks for stalled, missing, silent and idle connections.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(100);
-/// Time after which a release that no connection could take is dropped, as it is of no use any more.
-const WAITING_RELEASE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Age up to which a release that waits for a connection is a reason to dial ahead of other hubs, and to delay a
+/// shutdown. An older one is sent on the next connection that opens for any reason.
+const URGENT_RELEASE_AGE: Duration = Duration::from_secs(10);
+/// Maximum number of releases that wait for a connection.
+const MAX_WAITING_RELEASES: usize = 8192;
 
 /// State of a link's task.
 struct Link {
@@ -85,7 +88,7 @@
     dials: JoinSet<io::Result<(TcpStream, ConnectionPermit)>>,
     /// Set-ups received while no connection is open.
     waiting_set_ups: VecDeque<SetUp>,
-    /// Releases received while no connection is open, with the time of their arrival.
+    /// Releases received while no connection is open, with the time of their arrival, the oldest first.
     waiting_releases: VecDeque<(Instant, CallName, Cause)>,
     /// Calls that stand, each with the id of the connection it was set up on.
     standing_calls: HashMap<CallName, u64>,
@@ -181,7 +184,7 @@
             }
             self.write_connections();
             self.unsent_ends.set(
-                self.waiting_releases.len()
+                self.urgent_releases(Instant::now())
                     + self.connections.iter().map(Connection::unsent_ends).sum::<usize>(),
             );
             for event in self.events.drain(..) {
@@ -230,7 +233,7 @@
                 match index.and_then(|i| self.connections.get_mut(i)) {
                     Some(connection) => connection.queue.push_back(Outgoing::Release(call, cause)),
                     None => {
-                        self.waiting_releases.push_back((Instant::now(), call, cause));
+                        self.add_waiting_release(call, cause);
                         self.start_dial();
                     }
                 }
@@ -265,11 +268,27 @@
         self.events.push(given_up(true));
     }
 
+    /// Keeps a release until a connection opens. A hub that is only cut off still has the call then.
+    fn add_waiting_release(&mut self, call: CallName, cause: Cause) {
+        if self.waiting_releases.len() >= MAX_WAITING_RELEASES {
+            if let Some((_, call, _)) = self.waiting_releases.pop_front() {
+                tracing::warn!(link = self.id.0, %call, "release to the hub lost: too many wait");
+            }
+        }
+        self.waiting_releases.push_back((Instant::now(), call, cause));
+    }
+
+    /// Number of waiting releases that are not older than [`URGENT_RELEASE_AGE`].
+    fn urgent_releases(&self, now: Instant) -> usize {
+        let is_urgent = |(since, ..): &&(Instant, CallName, Cause)| now - *since < URGENT_RELEASE_AGE;
+        self.waiting_releases.iter().rev().take_while(is_urgent).count()
+    }
+
     /// Number of connections to keep open: [`TARGET_CONNECTIONS`], or fewer if there are more hubs than file
     /// descriptors, but at least one while calls or queued commands need it.
     fn target_connections(&self) -> usize {
         let needed = !self.waiting_set_ups.is_empty()
-            || !self.waiting_releases.is_empty()
+            || self.urgent_releases(Instant::now()) > 0
             || !self.standing_calls.is_empty();
         self.connection_limit.allowance(TARGET_CONNECTIONS).max(usize::from(needed))
     }
@@ -283,10 +302,11 @@
         if self.dials.is_empty() && self.connections.len() < MAX_CONNECTIONS {
             self.next_dial = None;
             let (address, limit) = (self.address, self.limits.dial_timeout);
-            let silent = self.is_quiet_with_calls(Instant::now());
-            let permit = self
-                .connection_limit
-                .acquire(!self.waiting_set_ups.is_empty() || !self.waiting_releases.is_empty() || silent);
+            let now = Instant::now();
+            let is_urgent = !self.waiting_set_ups.is_empty()
+                || self.urgent_releases(now) > 0
+                || self.is_quiet_with_calls(now);
+            let permit = self.connection_limit.acquire(is_urgent);
             self.dials.spawn(async move {
                 let address = address.ok_or(io::ErrorKind::InvalidInput)?;
                 let permit = permit.await?;
@@ -513,7 +533,6 @@
         if self.connections.len() < self.target_connections() && self.next_dial.is_none() {
             self.redial();
         }
-        self.waiting_releases.retain(|(since, ..)| now - *since < WAITING_RELEASE_TIMEOUT);
         self.check_unresponsive(now);
         // A machine that failed or is cut off sends nothing, and its connections stay open.
         let quiet = self.is_quiet_with_calls(now) && now - self.last_connected >= QUIET_TIMEOUT;
--- a/tests/hub_link.rs
+++ b/tests/hub_link.rs
@@ -583,3 +583,40 @@
         assert!(matches!(event, FromHub::Released(CallName(c), ..) if c == call), "{event:?}");
     }
 }
+
+// Guards against a release to the hub that is dropped because the hub was unreachable for 10 s.
+#[tokio::test]
+async fn a_release_is_delivered_to_a_hub_that_was_unreachable_for_a_minute() {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("bound");
+    let listener = socket.listen(1).expect("listens");
+    let mut link = ConnectedLink::dialling(&listener).await;
+    let at = link.set_up(1).await;
+    link.answer(at, 1).await;
+    let waiting = fill_accept_queue(&listener).await;
+    for at in [0, 1] {
+        link.hub[at].shutdown().await.expect("shut");
+        link.wait_closed(at).await;
+    }
+    link.commands.send(ToHub::Release(CallName(1), Cause::NORMAL)).await.expect("taken");
+    tokio::task::yield_now().await;
+    for _ in 0..60 {
+        tokio::time::pause();
+        tokio::time::advance(Duration::from_secs(1)).await;
+        tokio::time::resume();
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    drop(waiting);
+    let start = std::time::Instant::now();
+    loop {
+        assert!(start.elapsed() < TEST_TIMEOUT, "the release is not delivered");
+        let (mut hub, _) = timeout(TEST_TIMEOUT, listener.accept()).await.expect("dialled").expect("up");
+        let mut bytes = [0; 256];
+        // Connections that only filled the queue are closed.
+        if let Ok(Ok(count @ 1..)) = timeout(Duration::from_secs(1), hub.read(&mut bytes)).await {
+            let message = binary::parse(&bytes[..count]).expect("read").expect("whole");
+            assert_eq!((message.kind, message.call), (binary::kind::RELEASE, 1));
+            return;
+        }
+    }
+}
