--- a/tests/hub_link.rs
+++ b/tests/hub_link.rs
@@ -311,6 +311,13 @@
     assert!(matches!(event, FromHub::Released(CallName(1), Cause(16), ..)), "{event:?}");
 }
 
+/// A listener whose accept queue is soon full.
+fn listener_with_short_accept_queue() -> TcpListener {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("bound");
+    socket.listen(1).expect("listens")
+}
+
 /// Fills the listener's accept queue, so that further dials hang.
 async fn fill_accept_queue(listener: &TcpListener) -> Vec<TcpStream> {
     let address = listener.local_addr().expect("an address");
@@ -323,9 +330,7 @@
 
 #[tokio::test]
 async fn a_hub_declared_dead_has_its_silent_connections_closed_before_its_set_ups_are_settled() {
-    let socket = TcpSocket::new_v4().expect("a socket");
-    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("bound");
-    let listener = socket.listen(1).expect("listens");
+    let listener = listener_with_short_accept_queue();
     let mut link = ConnectedLink::dialling(&listener).await;
     let at = link.set_up(1).await;
     link.answer(at, 1).await;
@@ -469,9 +474,7 @@
 
 #[tokio::test]
 async fn a_hanging_dial_does_not_block_the_open_connection() {
-    let socket = TcpSocket::new_v4().expect("a socket");
-    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("bound");
-    let listener = socket.listen(1).expect("listens");
+    let listener = listener_with_short_accept_queue();
     let mut link = ConnectedLink::dialling(&listener).await;
     let at = link.set_up(1).await;
     link.answer(at, 1).await;
@@ -587,9 +590,7 @@
 // Guards against a release to the hub that is dropped because the hub was unreachable for 10 s.
 #[tokio::test]
 async fn a_release_is_delivered_to_a_hub_that_was_unreachable_for_a_minute() {
-    let socket = TcpSocket::new_v4().expect("a socket");
-    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("bound");
-    let listener = socket.listen(1).expect("listens");
+    let listener = listener_with_short_accept_queue();
     let mut link = ConnectedLink::dialling(&listener).await;
     let at = link.set_up(1).await;
     link.answer(at, 1).await;
