Say why a connection to a hub ends, and count messages that are lost with it

Need: the log said that a connection was lost and whether it was stalled. It could not tell an incomplete message from an overtaken answer, a malformed message from a close by the hub, nor whether anything unread went with it.

Change: each end has a typed reason in the log; a message that is incomplete at that moment is logged with its type, size and age, and counted in `hub_messages_discarded`. No behaviour is changed.

--- a/src/net/binary.rs
+++ b/src/net/binary.rs
@@ -101,6 +101,11 @@
     (u8, length_take(be_u16)).parse_next(input)
 }
 
+/// Returns the type of the message at the start of the input, as soon as it has arrived.
+pub fn kind_of(input: &[u8]) -> Option<u8> {
+    input.get(2).copied()
+}
+
 /// Parses the message at the start of the input; returns `None` if it is not complete yet.
 pub fn parse(input: &[u8]) -> Result<Option<Message<'_>>, MalformedMessage> {
     let Some((length, rest)) = input.split_first_chunk::<2>() else { return Ok(None) };
--- a/src/net/hub.rs
+++ b/src/net/hub.rs
@@ -5,6 +5,7 @@
 //! hub sent the messages behind them.
 
 mod connection;
+mod end_reason;
 mod liveness;
 mod messages;
 
@@ -17,6 +18,7 @@
 use crate::interface::Micros;
 use crate::metrics;
 use connection::{Connection, Outgoing};
+use end_reason::EndReason;
 use liveness::Liveness;
 use messages::handle_message;
 use std::collections::{HashMap, VecDeque};
@@ -485,18 +487,18 @@
         let candidates = self.connections.iter().enumerate().filter(|(_, c)| silent(c));
         let longest_silent = candidates.min_by_key(|(_, c)| c.last_heard).map(|(index, _)| index);
         let Some(index) = longest_silent else { return };
-        if self.read_available(index) {
-            self.connection_lost(index);
+        if let Err(reason) = self.read_available(index) {
+            self.connection_lost(index, reason);
         } else if self.connections.get(index).is_some_and(silent) {
-            self.close_idle(index, "silent");
+            self.close_idle(index, EndReason::Silent);
         }
     }
 
     /// Closes a connection that has no unanswered set-ups and nothing to write.
-    fn close_idle(&mut self, index: usize, why: &'static str) {
+    fn close_idle(&mut self, index: usize, reason: EndReason) {
         let connection = self.connections.remove(index);
         let open = self.connections.len();
-        tracing::debug!(link = self.id.0, connection = connection.id, why, open, "connection closed");
+        tracing::debug!(link = self.id.0, connection = connection.id, ?reason, open, "connection closed");
     }
 
     /// Closes stalled connections. After an answer that was corrupted, cut short or lost, a connection can stay open
@@ -505,14 +507,14 @@
     fn close_stalled(&mut self) {
         let now = Instant::now();
         while let Some(index) =
-            self.connections.iter().position(|c| c.is_stalled(now, self.latest_answered_start))
+            self.connections.iter().position(|c| c.stall(now, self.latest_answered_start).is_some())
         {
             // On a machine short of CPU time, the deadline may pass while the answer is already in the socket's
             // buffer, as another connection is read first. So the connection is read once more before it is judged.
-            let ended = self.read_available(index);
-            let stalled = |c: &Connection| c.is_stalled(now, self.latest_answered_start);
-            if ended || self.connections.get(index).is_some_and(stalled) {
-                self.connection_lost(index);
+            let ended = self.read_available(index).err();
+            let stall = self.connections.get(index).and_then(|c| c.stall(now, self.latest_answered_start));
+            if let Some(reason) = ended.or(stall) {
+                self.connection_lost(index, reason);
             }
         }
     }
@@ -520,8 +522,8 @@
     /// Reads and handles all that is available on every connection.
     fn read_all_connections(&mut self) {
         for index in (0..self.connections.len()).rev() {
-            if self.read_available(index) {
-                self.connection_lost(index);
+            if let Err(reason) = self.read_available(index) {
+                self.connection_lost(index, reason);
             }
         }
     }
@@ -551,40 +553,41 @@
         let idle = |c: &Connection| c.is_idle() && now - c.last_heard >= idle_limit;
         if let Some(index) = self.connections.iter().position(idle).filter(|_| excess > 0) {
             // A release that is still unread would be lost with the connection, so it is read first.
-            if self.read_available(index) {
-                self.connection_lost(index);
+            if let Err(reason) = self.read_available(index) {
+                self.connection_lost(index, reason);
             } else if self.connections.get(index).is_some_and(idle) {
-                self.close_idle(index, "idle");
+                self.close_idle(index, EndReason::Idle);
             }
         }
     }
 
     /// Reads one connection after a wake-up, then closes those that this shows to be stalled.
     fn read_connection(&mut self, index: usize) {
-        if self.read_available(index) {
-            self.connection_lost(index);
+        if let Err(reason) = self.read_available(index) {
+            self.connection_lost(index, reason);
         }
         self.close_stalled();
     }
 
-    /// Reads and handles what is available on a connection; returns whether the connection has ended.
-    fn read_available(&mut self, index: usize) -> bool {
+    /// Reads and handles what is available on a connection; fails if the connection has ended.
+    fn read_available(&mut self, index: usize) -> Result<(), EndReason> {
         for _ in 0..MAX_READS_PER_WAKEUP {
-            let Some(connection) = self.connections.get_mut(index) else { return false };
+            let Some(connection) = self.connections.get_mut(index) else { return Ok(()) };
             match connection.input.fill(&connection.stream) {
                 Ok(count) if count > 0 => {
                     connection.last_heard = Instant::now();
                     self.liveness.record_heard(connection.last_heard);
                     self.resets_in_a_row = 0;
                 }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return false,
-                Ok(_) | Err(_) => return true,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Ok(_) => return Err(EndReason::ClosedByHub),
+                Err(_) => return Err(EndReason::Broken),
             }
             if !self.process_messages(index) {
-                return true;
+                return Err(EndReason::MalformedMessage);
             }
         }
-        false
+        Ok(())
     }
 
     /// Handles all complete messages in the input buffer; returns `false` if the input is malformed.
@@ -673,15 +676,16 @@
     }
 
     /// Removes a connection that has ended. Only the set-ups that had begun on it are broken; the others are queued again.
-    fn connection_lost(&mut self, index: usize) {
+    fn connection_lost(&mut self, index: usize, reason: EndReason) {
         let connection = self.connections.remove(index);
         metrics::HUB_CONNECTIONS_LOST.increment();
-        let stalled = connection.is_stalled(Instant::now(), self.latest_answered_start);
+        self.report_discarded_input(&connection);
         tracing::debug!(
             link = self.id.0,
             connection = connection.id,
             open = connection.open_set_ups.len(),
-            spoilt = stalled,
+            standing = self.standing_calls.len(),
+            ?reason,
             "connection lost"
         );
         // Counted so that a hub that resets each connection it accepts is not dialled in a tight loop.
@@ -698,6 +702,25 @@
         }
     }
 
+    /// Counts and logs the incomplete message that ends with a connection.
+    fn report_discarded_input(&self, connection: &Connection) {
+        let input = connection.input.unconsumed();
+        if input.is_empty() {
+            return;
+        }
+        metrics::HUB_MESSAGES_DISCARDED.increment();
+        let incomplete_ms = connection.partial_since.map_or(0, |since| since.elapsed().as_millis() as u64);
+        let kind = binary::kind_of(input);
+        tracing::debug!(
+            link = self.id.0,
+            connection = connection.id,
+            ?kind,
+            bytes = input.len(),
+            incomplete_ms,
+            "incomplete message discarded"
+        );
+    }
+
     /// Closes a connection and reports the set-ups that had begun on it as broken. Returns the messages that had not
     /// been written.
     fn settle(&mut self, connection: Connection) -> Vec<Outgoing> {
@@ -722,8 +745,8 @@
             let Some(connection) = self.connections.get_mut(index) else { continue };
             if connection.write(now, self.set_up_cutoff, &mut self.events).is_err() {
                 // Messages that the hub sent before it closed the connection can still be read.
-                self.read_available(index);
-                self.connection_lost(index);
+                let reason = self.read_available(index).err().unwrap_or(EndReason::Broken);
+                self.connection_lost(index, reason);
                 self.close_stalled();
             }
         }
--- a/src/net/hub/connection.rs
+++ b/src/net/hub/connection.rs
@@ -3,6 +3,7 @@
 //! A set-up can be withdrawn until its first byte is written. Messages that the socket does not take are therefore
 //! moved back from the output buffer to the queue.
 
+use super::end_reason::EndReason;
 use crate::core::{CallName, Cause, FromHub, SetUp};
 use crate::interface::Micros;
 use crate::net::binary::{self, code, kind};
@@ -111,13 +112,16 @@
         self.queue.iter().chain(self.staged.iter().map(|(_, outgoing)| outgoing)).filter(end).count()
     }
 
-    /// Whether the connection has stopped delivering answers although it is open: a message has stayed incomplete, or a
-    /// set-up that began [`OVERTAKEN_ANSWER_TIMEOUT`] later than an unanswered one here has been answered on any
-    /// connection. `latest_answered_start` is the latest start among the answered ones.
-    pub(super) fn is_stalled(&self, now: Instant, latest_answered_start: Option<Instant>) -> bool {
+    /// Why the connection counts as stalled although it is open, if it does: a message has stayed incomplete, or a set-up
+    /// that began [`OVERTAKEN_ANSWER_TIMEOUT`] later than an unanswered one here has been answered on any connection.
+    /// `latest_answered_start` is the latest start among the answered ones.
+    pub(super) fn stall(&self, now: Instant, latest_answered_start: Option<Instant>) -> Option<EndReason> {
+        if self.partial_since.is_some_and(|since| now - since >= MESSAGE_TIMEOUT) {
+            return Some(EndReason::MessageIncomplete);
+        }
         let oldest = self.open_set_ups.values().map(|s| s.started).chain(self.suspect_since).min();
         let overtaken = oldest.is_some_and(|at| latest_answered_start >= Some(at + OVERTAKEN_ANSWER_TIMEOUT));
-        overtaken || self.partial_since.is_some_and(|since| now - since >= MESSAGE_TIMEOUT)
+        overtaken.then_some(EndReason::AnswerOvertaken)
     }
 
     /// Writes as much as the socket takes. A set-up whose first byte could not be written returns to the queue, where
