--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -53,6 +53,8 @@
 pub static HUB_DIAL_FAILURES: Counter = Counter::new();
 /// Connections to hubs that were closed or lost.
 pub static HUB_CONNECTIONS_LOST: Counter = Counter::new();
+/// Connections to hubs that were taken out of service and read on.
+pub static HUB_CONNECTIONS_SUSPENDED: Counter = Counter::new();
 /// Messages of hubs that were incomplete when their connection ended, and were lost with it.
 pub static HUB_MESSAGES_DISCARDED: Counter = Counter::new();
 /// Hubs that were declared dead.
@@ -84,6 +86,7 @@
         hub_dials = HUB_DIALS.get(),
         hub_dial_failures = HUB_DIAL_FAILURES.get(),
         hub_connections_lost = HUB_CONNECTIONS_LOST.get(),
+        hub_connections_suspended = HUB_CONNECTIONS_SUSPENDED.get(),
         hub_messages_discarded = HUB_MESSAGES_DISCARDED.get(),
         hubs_dead = HUBS_DEAD.get(),
         caller_connections_closed_with_calls = CALLER_CONNECTIONS_CLOSED_WITH_CALLS.get(),
--- a/src/net/hub.rs
+++ b/src/net/hub.rs
@@ -5,7 +5,7 @@
 //! hub sent the messages behind them.
 
 mod connection;
-mod end_reason;
+mod lifecycle;
 mod liveness;
 mod messages;
 
@@ -18,7 +18,7 @@
 use crate::interface::Micros;
 use crate::metrics;
 use connection::{Connection, Outgoing};
-use end_reason::EndReason;
+use lifecycle::{EndReason, Verdict, MESSAGE_TIMEOUT};
 use liveness::Liveness;
 use messages::handle_message;
 use std::collections::{HashMap, VecDeque};
@@ -88,7 +88,7 @@
     clock: Clock,
     connections: Vec<Connection>,
     dials: JoinSet<io::Result<(TcpStream, ConnectionPermit)>>,
-    /// Set-ups received while no connection is open.
+    /// Set-ups received while no connection is in service.
     waiting_set_ups: VecDeque<SetUp>,
     /// Releases received while no connection is open, with the time of their arrival, the oldest first.
     waiting_releases: VecDeque<(Instant, CallName, Cause)>,
@@ -184,6 +184,7 @@
                 yield_for_departures().await;
                 closed = self.drain_commands(&mut commands);
             }
+            self.settle_unserved_set_ups();
             self.write_connections();
             self.unsent_ends.set(
                 self.urgent_releases(Instant::now())
@@ -220,13 +221,16 @@
     fn handle_command(&mut self, command: ToHub) {
         match command {
             // The least loaded connection, so that one that has stopped answering collects no further set-ups.
-            ToHub::SetUp(set_up) => match self.connections.iter_mut().min_by_key(|c| c.load()) {
-                Some(connection) => connection.queue.push_back(Outgoing::SetUp(set_up)),
-                None => {
-                    self.waiting_set_ups.push_back(set_up);
-                    self.redial();
+            ToHub::SetUp(set_up) => {
+                let in_service = self.connections.iter_mut().filter(|c| c.lifecycle.is_in_service());
+                match in_service.min_by_key(|c| c.load()) {
+                    Some(connection) => connection.queue.push_back(Outgoing::SetUp(set_up)),
+                    None => {
+                        self.waiting_set_ups.push_back(set_up);
+                        self.redial();
+                    }
                 }
-            },
+            }
             ToHub::GiveUp(call, attempt) => self.give_up(call, attempt),
             ToHub::Release(call, cause) => {
                 let connection_id = self.standing_calls.remove(&call);
@@ -286,7 +290,12 @@
         self.waiting_releases.iter().rev().take_while(is_urgent).count()
     }
 
-    /// Number of connections to keep open: [`TARGET_CONNECTIONS`], or fewer if there are more hubs than file
+    /// Number of connections that take set-ups.
+    fn connections_in_service(&self) -> usize {
+        self.connections.iter().filter(|c| c.lifecycle.is_in_service()).count()
+    }
+
+    /// Number of connections to keep in service: [`TARGET_CONNECTIONS`], or fewer if there are more hubs than file
     /// descriptors, but at least one while calls or queued commands need it.
     fn target_connections(&self) -> usize {
         let needed = !self.waiting_set_ups.is_empty()
@@ -332,7 +341,7 @@
             Ok((stream, permit)) => {
                 self.backoff = MIN_DIAL_BACKOFF;
                 self.next_dial = None;
-                if self.connections.len() >= self.target_connections().max(1)
+                if self.connections_in_service() >= self.target_connections().max(1)
                     && !self.answers_overdue(now)
                     && self.standing_calls.is_empty()
                 {
@@ -368,8 +377,7 @@
                     (self.liveness.silence(now).as_millis() as u64, self.standing_calls.len());
                 let (open, waiting) = (self.connections.len(), self.waiting_set_ups.len());
                 tracing::debug!(link = self.id.0, %error, waiting, open, silent_ms, standing, "dial failed");
-                let unreachable = |s: SetUp| FromHub::Unreachable(s.call, s.attempt);
-                self.events.extend(self.waiting_set_ups.drain(..).map(unreachable));
+                self.report_waiting_unreachable();
                 self.next_dial = Some(now + self.backoff);
                 self.backoff = (self.backoff * 2).min(MAX_DIAL_BACKOFF);
                 let open = !self.connections.is_empty();
@@ -501,24 +509,71 @@
         tracing::debug!(link = self.id.0, connection = connection.id, ?reason, open, "connection closed");
     }
 
-    /// Closes stalled connections. After an answer that was corrupted, cut short or lost, a connection can stay open
-    /// and deliver nothing more, neither for its other set-ups nor for its standing calls. Closing it settles the
-    /// set-ups, and the hub repeats on the next connection what it could not deliver.
-    fn close_stalled(&mut self) {
+    /// Suspends or closes the connections that need it; see [`lifecycle`]. After an answer that was corrupted, cut short
+    /// or lost, a connection can stay open and deliver nothing more, neither for its other set-ups nor for its standing
+    /// calls. The hub repeats on the next connection what it could not deliver.
+    fn judge_connections(&mut self) {
         let now = Instant::now();
-        while let Some(index) =
-            self.connections.iter().position(|c| c.stall(now, self.latest_answered_start).is_some())
-        {
+        let verdict = |c: &Connection, link: &Link| c.verdict(now, link.latest_answered_start);
+        while let Some(index) = self.connections.iter().position(|c| verdict(c, self).is_some()) {
             // On a machine short of CPU time, the deadline may pass while the answer is already in the socket's
             // buffer, as another connection is read first. So the connection is read once more before it is judged.
-            let ended = self.read_available(index).err();
-            let stall = self.connections.get(index).and_then(|c| c.stall(now, self.latest_answered_start));
-            if let Some(reason) = ended.or(stall) {
-                self.connection_lost(index, reason);
+            let ended = self.read_available(index).err().map(Verdict::End);
+            match ended.or_else(|| self.connections.get(index).and_then(|c| verdict(c, self))) {
+                Some(Verdict::Suspend(reason)) => self.suspend(index, reason),
+                Some(Verdict::End(reason)) => self.connection_lost(index, reason),
+                None => {}
             }
         }
     }
 
+    /// Takes a connection out of service and gives its set-ups up. If the give-ups cannot be written at once, only
+    /// closing the connection settles the set-ups.
+    fn suspend(&mut self, index: usize, reason: EndReason) {
+        let now = self.clock.now();
+        let Some(connection) = self.connections.get_mut(index) else { return };
+        metrics::HUB_CONNECTIONS_SUSPENDED.increment();
+        tracing::debug!(
+            link = self.id.0,
+            connection = connection.id,
+            open = connection.open_set_ups.len(),
+            standing = self.standing_calls.len(),
+            ?reason,
+            "connection suspended"
+        );
+        connection.lifecycle.suspend(Instant::now());
+        let withdrawn = connection.withdraw_queued_set_ups();
+        connection.abandon_open_set_ups();
+        let written = connection.write(now, self.set_up_cutoff, &mut self.events);
+        if written.is_err() || connection.has_unsent_output() {
+            self.connection_lost(index, reason);
+        }
+        self.redial();
+        for set_up in withdrawn {
+            self.handle_command(ToHub::SetUp(set_up));
+        }
+    }
+
+    /// Reports the waiting set-ups as unreachable if every connection is suspended, none was until [`MESSAGE_TIMEOUT`]
+    /// ago, and no further one may be opened.
+    fn settle_unserved_set_ups(&mut self) {
+        if self.waiting_set_ups.is_empty() || self.connections.len() < MAX_CONNECTIONS {
+            return;
+        }
+        let suspended: Option<Vec<Instant>> =
+            self.connections.iter().map(|c| c.lifecycle.suspended_since()).collect();
+        let latest = suspended.and_then(|since| since.into_iter().max());
+        if latest.is_some_and(|since| since.elapsed() >= MESSAGE_TIMEOUT) {
+            self.report_waiting_unreachable();
+        }
+    }
+
+    /// Reports that the waiting set-ups could not be sent.
+    fn report_waiting_unreachable(&mut self) {
+        let unreachable = |s: SetUp| FromHub::Unreachable(s.call, s.attempt);
+        self.events.extend(self.waiting_set_ups.drain(..).map(unreachable));
+    }
+
     /// Reads and handles all that is available on every connection.
     fn read_all_connections(&mut self) {
         for index in (0..self.connections.len()).rev() {
@@ -528,11 +583,11 @@
         }
     }
 
-    /// Periodic checks: closes stalled and surplus connections, dials missing ones, and probes a silent hub.
+    /// Periodic checks: suspends and closes connections, dials missing ones, and probes a silent hub.
     fn maintain(&mut self) {
-        self.close_stalled();
+        self.judge_connections();
         let now = Instant::now();
-        if self.connections.len() < self.target_connections() && self.next_dial.is_none() {
+        if self.connections_in_service() < self.target_connections() && self.next_dial.is_none() {
             self.redial();
         }
         self.check_unresponsive(now);
@@ -543,14 +598,15 @@
         {
             self.probe(now);
         }
-        let excess = self.connections.len().saturating_sub(self.target_connections());
+        let excess = self.connections_in_service().saturating_sub(self.target_connections());
         // With more hubs than file descriptors, an idle connection here takes the place of one needed elsewhere.
         let idle_limit = match (self.connection_limit.has_waiters(), self.connection_limit.is_exhausted()) {
             (true, _) => Duration::ZERO,
             (false, true) => SCARCE_IDLE_TIMEOUT,
             (false, false) => IDLE_TIMEOUT,
         };
-        let idle = |c: &Connection| c.is_idle() && now - c.last_heard >= idle_limit;
+        let idle =
+            |c: &Connection| c.lifecycle.is_in_service() && c.is_idle() && now - c.last_heard >= idle_limit;
         if let Some(index) = self.connections.iter().position(idle).filter(|_| excess > 0) {
             // A release that is still unread would be lost with the connection, so it is read first.
             if let Err(reason) = self.read_available(index) {
@@ -561,12 +617,12 @@
         }
     }
 
-    /// Reads one connection after a wake-up, then closes those that this shows to be stalled.
+    /// Reads one connection after a wake-up, then judges all by what this shows.
     fn read_connection(&mut self, index: usize) {
         if let Err(reason) = self.read_available(index) {
             self.connection_lost(index, reason);
         }
-        self.close_stalled();
+        self.judge_connections();
     }
 
     /// Reads and handles what is available on a connection; fails if the connection has ended.
@@ -607,7 +663,7 @@
                         let answered_start =
                             handle_message(&message, connection, &mut self.standing_calls, &mut self.events);
                         self.latest_answered_start = self.latest_answered_start.max(answered_start);
-                        connection.suspect_since = None;
+                        connection.lifecycle.record_message();
                     }
                     input.consume(bytes);
                 }
@@ -619,9 +675,12 @@
             }
         }
         let Some(connection) = self.connections.get_mut(index) else { return false };
-        let since = connection.partial_since.filter(|_| !whole).unwrap_or(connection.last_heard);
-        connection.partial_since = (!input.unconsumed().is_empty()).then_some(since);
+        let incomplete = !input.unconsumed().is_empty();
         connection.input = input;
+        if connection.lifecycle.record_input(connection.last_heard, whole, incomplete) {
+            tracing::debug!(link = self.id.0, connection = connection.id, "connection back in service");
+            connection.queue.extend(self.waiting_set_ups.drain(..).map(Outgoing::SetUp));
+        }
         !malformed
     }
 
@@ -697,7 +756,7 @@
                 Outgoing::SetUp(set_up) => self.handle_command(ToHub::SetUp(set_up)),
                 Outgoing::Release(call, cause) => self.handle_command(ToHub::Release(call, cause)),
                 // The set-up of a give-up was broken with this connection.
-                Outgoing::GiveUp(..) | Outgoing::ReleaseAck(_) | Outgoing::Test => {}
+                Outgoing::GiveUp(..) | Outgoing::Abandon(..) | Outgoing::ReleaseAck(_) | Outgoing::Test => {}
             }
         }
     }
@@ -709,7 +768,8 @@
             return;
         }
         metrics::HUB_MESSAGES_DISCARDED.increment();
-        let incomplete_ms = connection.partial_since.map_or(0, |since| since.elapsed().as_millis() as u64);
+        let incomplete_ms =
+            connection.lifecycle.partial_since().map_or(0, |since| since.elapsed().as_millis() as u64);
         let kind = binary::kind_of(input);
         tracing::debug!(
             link = self.id.0,
@@ -747,7 +807,7 @@
                 // Messages that the hub sent before it closed the connection can still be read.
                 let reason = self.read_available(index).err().unwrap_or(EndReason::Broken);
                 self.connection_lost(index, reason);
-                self.close_stalled();
+                self.judge_connections();
             }
         }
     }
--- a/src/net/hub/connection.rs
+++ b/src/net/hub/connection.rs
@@ -3,7 +3,7 @@
 //! A set-up can be withdrawn until its first byte is written. Messages that the socket does not take are therefore
 //! moved back from the output buffer to the queue.
 
-use super::end_reason::EndReason;
+use super::lifecycle::{Lifecycle, Verdict};
 use crate::core::{CallName, Cause, FromHub, SetUp};
 use crate::interface::Micros;
 use crate::net::binary::{self, code, kind};
@@ -15,11 +15,6 @@
 use tokio::net::TcpStream;
 use tokio::time::{Duration, Instant};
 
-/// Time within which a partly received message must be complete.
-const MESSAGE_TIMEOUT: Duration = Duration::from_millis(300);
-/// A set-up whose answer is missing although one that began this much later has been answered counts as lost. A hub
-/// takes set-ups in order, and jitter is far smaller than this.
-const OVERTAKEN_ANSWER_TIMEOUT: Duration = Duration::from_millis(120);
 /// A connection becomes suspect if a set-up on it is given up after at least this time and nothing was received since
 /// the set-up began. The core gives up set-ups that it sees overtaken; without this rule, the connection would then
 /// look as if no answer were due on it.
@@ -29,10 +24,13 @@
 /// Size of the output buffer at which no further messages are encoded. Messages still queued can be withdrawn.
 const MAX_WRITE_BYTES: usize = 16 * 1024;
 
-/// An outgoing message: a set-up, the give-up of an attempt, a release, the acknowledgement of a release, or a test.
+/// An outgoing message.
 pub(super) enum Outgoing {
     SetUp(SetUp),
+    /// Gives an attempt up on behalf of the core.
     GiveUp(CallName, u64),
+    /// Gives an attempt up because its connection leaves service, which is reported as a lost connection.
+    Abandon(CallName, u64),
     Release(CallName, Cause),
     ReleaseAck(CallName),
     Test,
@@ -61,10 +59,7 @@
     pub(super) open_set_ups: HashMap<CallName, OpenSetUp>,
     pub(super) opened_at: Instant,
     pub(super) last_heard: Instant,
-    /// Since when the message at the front of the input is incomplete.
-    pub(super) partial_since: Option<Instant>,
-    /// Start of a set-up that was given up late, if no message was handled on this connection since.
-    pub(super) suspect_since: Option<Instant>,
+    pub(super) lifecycle: Lifecycle,
     /// Counts this connection against the limit for all links.
     pub(super) _permit: ConnectionPermit,
 }
@@ -89,8 +84,7 @@
             open_set_ups: HashMap::new(),
             opened_at: now,
             last_heard: now,
-            partial_since: None,
-            suspect_since: None,
+            lifecycle: Lifecycle::new(),
             _permit: permit,
         }
     }
@@ -98,30 +92,59 @@
     /// Sort key for choosing a connection for a set-up: the number of open set-ups and queued messages. A suspect
     /// connection sorts after all others.
     pub(super) fn load(&self) -> (bool, usize) {
-        (self.suspect_since.is_some(), self.open_set_ups.len() + self.queue.len())
+        (self.lifecycle.is_suspect(), self.open_set_ups.len() + self.queue.len())
     }
 
-    /// Whether it has no open set-ups and nothing to write.
+    /// Whether it has no open set-ups, nothing to write, and no message that is received in part.
     pub(super) fn is_idle(&self) -> bool {
-        self.open_set_ups.is_empty() && self.queue.is_empty() && self.output.is_empty()
+        self.open_set_ups.is_empty() && !self.has_unsent_output() && self.lifecycle.partial_since().is_none()
+    }
+
+    /// Whether messages are not written yet.
+    pub(super) fn has_unsent_output(&self) -> bool {
+        !self.queue.is_empty() || !self.output.is_empty()
     }
 
     /// Number of give-ups and releases that are not written yet.
     pub(super) fn unsent_ends(&self) -> usize {
-        let end = |outgoing: &&Outgoing| matches!(outgoing, Outgoing::GiveUp(..) | Outgoing::Release(..));
-        self.queue.iter().chain(self.staged.iter().map(|(_, outgoing)| outgoing)).filter(end).count()
+        let end = |outgoing: &&Outgoing| {
+            matches!(outgoing, Outgoing::GiveUp(..) | Outgoing::Abandon(..) | Outgoing::Release(..))
+        };
+        self.unsent_messages().filter(end).count()
+    }
+
+    /// The messages that are not written completely.
+    pub(super) fn unsent_messages(&self) -> impl Iterator<Item = &Outgoing> {
+        self.queue.iter().chain(self.staged.iter().map(|(_, outgoing)| outgoing))
+    }
+
+    /// Judges the connection; see [`Lifecycle::verdict`].
+    pub(super) fn verdict(&self, now: Instant, latest_answered_start: Option<Instant>) -> Option<Verdict> {
+        let oldest_set_up = self.open_set_ups.values().map(|set_up| set_up.started).min();
+        self.lifecycle.verdict(now, oldest_set_up, latest_answered_start)
     }
 
-    /// Why the connection counts as stalled although it is open, if it does: a message has stayed incomplete, or a set-up
-    /// that began [`OVERTAKEN_ANSWER_TIMEOUT`] later than an unanswered one here has been answered on any connection.
-    /// `latest_answered_start` is the latest start among the answered ones.
-    pub(super) fn stall(&self, now: Instant, latest_answered_start: Option<Instant>) -> Option<EndReason> {
-        if self.partial_since.is_some_and(|since| now - since >= MESSAGE_TIMEOUT) {
-            return Some(EndReason::MessageIncomplete);
+    /// Takes the set-ups that have not begun from the queue.
+    pub(super) fn withdraw_queued_set_ups(&mut self) -> Vec<SetUp> {
+        let mut withdrawn = Vec::new();
+        for outgoing in std::mem::take(&mut self.queue) {
+            match outgoing {
+                Outgoing::SetUp(set_up) => withdrawn.push(set_up),
+                other => self.queue.push_back(other),
+            }
         }
-        let oldest = self.open_set_ups.values().map(|s| s.started).chain(self.suspect_since).min();
-        let overtaken = oldest.is_some_and(|at| latest_answered_start >= Some(at + OVERTAKEN_ANSWER_TIMEOUT));
-        overtaken.then_some(EndReason::AnswerOvertaken)
+        withdrawn
+    }
+
+    /// Queues a give-up of each open set-up that has none yet, the oldest first.
+    pub(super) fn abandon_open_set_ups(&mut self) {
+        let is_given_up = |call: &CallName| {
+            self.unsent_messages().any(|outgoing| matches!(outgoing, Outgoing::GiveUp(c, _) if c == call))
+        };
+        let mut abandoned: Vec<(CallName, OpenSetUp)> =
+            self.open_set_ups.iter().filter(|(call, _)| !is_given_up(call)).map(|(c, s)| (*c, *s)).collect();
+        abandoned.sort_by_key(|(_, set_up)| set_up.started);
+        self.queue.extend(abandoned.into_iter().map(|(call, s)| Outgoing::Abandon(call, s.attempt)));
     }
 
     /// Writes as much as the socket takes. A set-up whose first byte could not be written returns to the queue, where
@@ -179,7 +202,9 @@
                 let count = if s.description.format == SDP { 4 } else { 3 };
                 binary::write(&mut self.output, kind::SET_UP, s.call.0, &parameters[..count])
             }
-            Outgoing::GiveUp(call, _) => release(&mut self.output, *call, Cause::NORMAL),
+            Outgoing::GiveUp(call, _) | Outgoing::Abandon(call, _) => {
+                release(&mut self.output, *call, Cause::NORMAL)
+            }
             Outgoing::Release(call, cause) => release(&mut self.output, *call, *cause),
             Outgoing::ReleaseAck(call) => binary::write(&mut self.output, kind::RELEASE_ACK, call.0, &[]),
             Outgoing::Test => binary::write(&mut self.output, kind::TEST, NO_CALL, &[(code::CAUSE, &[0])]),
@@ -209,12 +234,22 @@
                 return;
             }
             self.written_of_first -= length;
-            if let Some((_, Outgoing::GiveUp(call, attempt))) = self.staged.pop_front() {
-                let started = self.open_set_ups.remove(&call).map(|s| s.started);
-                let late = |at: &Instant| at.elapsed() >= SUSPECT_TIMEOUT && self.last_heard < *at;
-                self.suspect_since = self.suspect_since.or(started.filter(late));
-                tracing::debug!(%call, attempt, connection = self.id, "give-up written");
-                events.push(FromHub::GivenUp { attempt, call, began: true });
+            match self.staged.pop_front() {
+                Some((_, Outgoing::GiveUp(call, attempt))) => {
+                    let started = self.open_set_ups.remove(&call).map(|s| s.started);
+                    let late = |at: &Instant| at.elapsed() >= SUSPECT_TIMEOUT && self.last_heard < *at;
+                    if let Some(started) = started.filter(late) {
+                        self.lifecycle.record_late_give_up(started);
+                    }
+                    tracing::debug!(%call, attempt, connection = self.id, "give-up written");
+                    events.push(FromHub::GivenUp { attempt, call, began: true });
+                }
+                Some((_, Outgoing::Abandon(call, attempt))) => {
+                    self.open_set_ups.remove(&call);
+                    tracing::debug!(%call, attempt, connection = self.id, "set-up abandoned");
+                    events.push(FromHub::ConnectionLost(call, attempt));
+                }
+                _ => {}
             }
         }
     }
--- /dev/null
+++ b/src/net/hub/lifecycle.rs
@@ -0,0 +1,147 @@
+//! Decides when a connection to a table hub leaves service, returns to it, and ends. It does no I/O and reads no clock.
+//!
+//! | observed | may still arrive | what follows | closed |
+//! | --- | --- | --- | --- |
+//! | a message is incomplete for [`MESSAGE_TIMEOUT`] | its rest, and releases behind it | suspended | [`RELEASE_TIMEOUT`] after the message began |
+//! | an answer is overtaken by [`OVERTAKEN_ANSWER_TIMEOUT`] | nothing | – | at once |
+//! | a suspended connection delivers a whole message | more messages | in service again | – |
+//!
+//! The set-ups of a suspended connection are given up by a message, so that they wait no longer than if it was closed.
+//! It gets no further ones, a new connection is opened beside it, and it is read on. A hub that pauses within a message
+//! thus loses no release. An incomplete message is bounded in bytes by [`crate::net::buffer::MAX_MESSAGE_BYTES`].
+
+use tokio::time::{Duration, Instant};
+
+/// Time within which a message must be complete for its connection to stay in service.
+pub(super) const MESSAGE_TIMEOUT: Duration = Duration::from_millis(300);
+/// A set-up whose answer is missing although one that began this much later has been answered counts as lost. A hub
+/// takes set-ups in order, and jitter is far smaller than this.
+const OVERTAKEN_ANSWER_TIMEOUT: Duration = Duration::from_millis(120);
+/// Time within which a call that is over must be released. A suspended connection is read for this long.
+const RELEASE_TIMEOUT: Duration = Duration::from_secs(8);
+
+/// Why a connection ends or is suspended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum EndReason {
+    /// The hub closed it.
+    ClosedByHub,
+    /// Reading or writing failed.
+    Broken,
+    /// The hub sent what is no message.
+    MalformedMessage,
+    /// A message of the hub stayed incomplete.
+    MessageIncomplete,
+    /// An answer is missing although a set-up that began later was answered.
+    AnswerOvertaken,
+    /// It was silent, and another connection takes its place.
+    Silent,
+    /// It was surplus and idle.
+    Idle,
+}
+
+/// What has to be done with a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Verdict {
+    /// Take it out of service and read on.
+    Suspend(EndReason),
+    /// Close it.
+    End(EndReason),
+}
+
+/// What a connection is used for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// It takes set-ups.
+    InService,
+    /// It takes no set-ups since this time, and is read.
+    Suspended(Instant),
+}
+
+/// The phase of one connection, and what was observed on it.
+pub(super) struct Lifecycle {
+    phase: Phase,
+    /// Since when the message at the front of the input is incomplete.
+    partial_since: Option<Instant>,
+    /// Start of a set-up that was given up late, if no message was handled since.
+    suspect_since: Option<Instant>,
+}
+
+impl Lifecycle {
+    /// The lifecycle of a connection that was just opened.
+    pub(super) fn new() -> Lifecycle {
+        Lifecycle { phase: Phase::InService, partial_since: None, suspect_since: None }
+    }
+
+    /// Whether the connection takes set-ups.
+    pub(super) fn is_in_service(&self) -> bool {
+        self.phase == Phase::InService
+    }
+
+    /// Since when the connection is suspended, if it is.
+    pub(super) fn suspended_since(&self) -> Option<Instant> {
+        match self.phase {
+            Phase::InService => None,
+            Phase::Suspended(since) => Some(since),
+        }
+    }
+
+    /// Since when a message is incomplete, if one is.
+    pub(super) fn partial_since(&self) -> Option<Instant> {
+        self.partial_since
+    }
+
+    /// Whether a set-up was given up late and no message was handled since.
+    pub(super) fn is_suspect(&self) -> bool {
+        self.suspect_since.is_some()
+    }
+
+    /// Records a set-up that began at `started` and was given up late.
+    pub(super) fn record_late_give_up(&mut self, started: Instant) {
+        self.suspect_since.get_or_insert(started);
+    }
+
+    /// Records that a message was handled.
+    pub(super) fn record_message(&mut self) {
+        self.suspect_since = None;
+    }
+
+    /// Records the bytes received at `now`: whether they completed any message, and whether they leave one incomplete.
+    /// Returns whether this brings a suspended connection back into service.
+    pub(super) fn record_input(&mut self, now: Instant, completed: bool, incomplete: bool) -> bool {
+        let since = self.partial_since.filter(|_| !completed).unwrap_or(now);
+        self.partial_since = incomplete.then_some(since);
+        let returns = completed && !self.is_in_service();
+        if returns {
+            self.phase = Phase::InService;
+        }
+        returns
+    }
+
+    /// Takes the connection out of service.
+    pub(super) fn suspend(&mut self, now: Instant) {
+        self.phase = Phase::Suspended(now);
+    }
+
+    /// Judges the connection. `oldest_set_up` is the start of its oldest unanswered set-up, and `latest_answered_start`
+    /// the latest start of a set-up that was answered on any connection to the hub.
+    pub(super) fn verdict(
+        &self,
+        now: Instant,
+        oldest_set_up: Option<Instant>,
+        latest_answered_start: Option<Instant>,
+    ) -> Option<Verdict> {
+        let incomplete_for = |limit| self.partial_since.is_some_and(|since| now - since >= limit);
+        if incomplete_for(RELEASE_TIMEOUT) {
+            return Some(Verdict::End(EndReason::MessageIncomplete));
+        }
+        if self.is_in_service() && incomplete_for(MESSAGE_TIMEOUT) {
+            return Some(Verdict::Suspend(EndReason::MessageIncomplete));
+        }
+        let oldest = oldest_set_up.into_iter().chain(self.suspect_since).min();
+        let overtaken = oldest.is_some_and(|at| latest_answered_start >= Some(at + OVERTAKEN_ANSWER_TIMEOUT));
+        overtaken.then_some(Verdict::End(EndReason::AnswerOvertaken))
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/tests/common/scripted_hub.rs
+++ b/tests/common/scripted_hub.rs
@@ -155,11 +155,15 @@
 
     /// Sends a message on a connection.
     pub fn send(&mut self, connection: usize, kind: u8, call: u64, parameters: &[(u8, &[u8])]) {
-        let mut bytes = Vec::new();
-        assert!(binary::write(&mut bytes, kind, call, parameters));
+        let bytes = encode(kind, call, parameters);
         self.connections[connection].stream.write_all(&bytes).expect("written");
     }
 
+    /// Sends bytes on a connection that the program may have closed.
+    pub fn try_send_bytes(&mut self, connection: usize, bytes: &[u8]) {
+        let _ = self.connections[connection].stream.write_all(bytes);
+    }
+
     /// Answers a set-up.
     pub fn answer(&mut self, to: &ReceivedMessage) {
         self.send(to.connection, kind::ANSWER, to.call, &[(code::DESCRIPTION, HUB_BODY)]);
@@ -173,6 +177,13 @@
     }
 }
 
+/// Encodes a message.
+pub fn encode(kind: u8, call: u64, parameters: &[(u8, &[u8])]) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    assert!(binary::write(&mut bytes, kind, call, parameters));
+    bytes
+}
+
 /// Waits for the answer to a call and returns its status.
 pub fn answer_status(caller: &mut Caller, call: u64) -> u16 {
     caller.answer(call).unwrap_or_else(|| panic!("no answer to call {call:x}")).0
