Keep a connection with standing calls open when later answers overtake one on it

A connection was closed 120 ms after a later set-up had been answered elsewhere, with all that the hub had on its way there. Its release came again on the next connection, once; where new set-ups overtook that one too, the call was never released.

Evidence: hub_link.rs, a_release_on_connections_that_later_answers_overtake_is_reported. On the program of before neither the release nor its repetition is read, and the stand-in, silent otherwise, is declared dead after 6.5 s.

Ruled out: suspending every overtaken connection. a_connection_whose_set_up_is_overtaken_by_a_later_answer_is_closed asks for the close of one on which no call stands, and nothing that is known of is due there.

Change: an overtaken connection on which calls stand is suspended (net/hub/lifecycle), with its set-ups given up at the same time as before, and is read for 8 s at most, or until those calls have ended.

--- a/src/net/hub.rs
+++ b/src/net/hub.rs
@@ -514,7 +514,8 @@
     /// calls. The hub repeats on the next connection what it could not deliver.
     fn judge_connections(&mut self) {
         let now = Instant::now();
-        let verdict = |c: &Connection, link: &Link| c.verdict(now, link.latest_answered_start);
+        let verdict =
+            |c: &Connection, link: &Link| c.verdict(now, link.latest_answered_start, &link.standing_calls);
         while let Some(index) = self.connections.iter().position(|c| verdict(c, self).is_some()) {
             // On a machine short of CPU time, the deadline may pass while the answer is already in the socket's
             // buffer, as another connection is read first. So the connection is read once more before it is judged.
@@ -541,7 +542,7 @@
             ?reason,
             "connection suspended"
         );
-        connection.lifecycle.suspend(Instant::now());
+        connection.lifecycle.suspend(Instant::now(), reason);
         let withdrawn = connection.withdraw_queued_set_ups();
         connection.abandon_open_set_ups();
         let written = connection.write(now, self.set_up_cutoff, &mut self.events);
--- a/src/net/hub/connection.rs
+++ b/src/net/hub/connection.rs
@@ -3,7 +3,7 @@
 //! A set-up can be withdrawn until its first byte is written. Messages that the socket does not take are therefore
 //! moved back from the output buffer to the queue.
 
-use super::lifecycle::{Lifecycle, Verdict};
+use super::lifecycle::{Lifecycle, Observed, Verdict};
 use crate::core::{CallName, Cause, FromHub, SetUp};
 use crate::interface::Micros;
 use crate::net::binary::{self, code, kind};
@@ -119,9 +119,18 @@
     }
 
     /// Judges the connection; see [`Lifecycle::verdict`].
-    pub(super) fn verdict(&self, now: Instant, latest_answered_start: Option<Instant>) -> Option<Verdict> {
-        let oldest_set_up = self.open_set_ups.values().map(|set_up| set_up.started).min();
-        self.lifecycle.verdict(now, oldest_set_up, latest_answered_start)
+    pub(super) fn verdict(
+        &self,
+        now: Instant,
+        latest_answered_start: Option<Instant>,
+        standing_calls: &HashMap<CallName, u64>,
+    ) -> Option<Verdict> {
+        let observed = Observed {
+            oldest_set_up: self.open_set_ups.values().map(|set_up| set_up.started).min(),
+            latest_answered_start,
+            has_standing_calls: || standing_calls.values().any(|connection| *connection == self.id),
+        };
+        self.lifecycle.verdict(now, observed)
     }
 
     /// Takes the set-ups that have not begun from the queue.
--- a/src/net/hub/lifecycle.rs
+++ b/src/net/hub/lifecycle.rs
@@ -3,7 +3,8 @@
 //! | observed | may still arrive | what follows | closed |
 //! | --- | --- | --- | --- |
 //! | a message is incomplete for [`MESSAGE_TIMEOUT`] | its rest, and releases behind it | suspended | [`RELEASE_TIMEOUT`] after the message began |
-//! | an answer is overtaken by [`OVERTAKEN_ANSWER_TIMEOUT`] | nothing | – | at once |
+//! | an answer is overtaken by [`OVERTAKEN_ANSWER_TIMEOUT`] | it, and releases of the calls set up there | suspended | [`RELEASE_TIMEOUT`] later |
+//! | the same, or suspended for it, without a call set up there | the answer alone | – | at once |
 //! | a suspended connection delivers a whole message | more messages | in service again | – |
 //!
 //! The set-ups of a suspended connection are given up by a message, so that they wait no longer than if it was closed.
@@ -48,13 +49,23 @@
     End(EndReason),
 }
 
+/// What is known of a connection's set-ups and calls when it is judged.
+pub(super) struct Observed<StandingCalls> {
+    /// Start of the oldest unanswered set-up on the connection.
+    pub(super) oldest_set_up: Option<Instant>,
+    /// The latest start of a set-up that was answered on any connection to the hub.
+    pub(super) latest_answered_start: Option<Instant>,
+    /// Tells whether calls stand that were set up on the connection; asked only where it matters, as it is costly.
+    pub(super) has_standing_calls: StandingCalls,
+}
+
 /// What a connection is used for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
     /// It takes set-ups.
     InService,
-    /// It takes no set-ups since this time, and is read.
-    Suspended(Instant),
+    /// It takes no set-ups since this time for this reason, and is read.
+    Suspended(Instant, EndReason),
 }
 
 /// The phase of one connection, and what was observed on it.
@@ -81,7 +92,7 @@
     pub(super) fn suspended_since(&self) -> Option<Instant> {
         match self.phase {
             Phase::InService => None,
-            Phase::Suspended(since) => Some(since),
+            Phase::Suspended(since, _) => Some(since),
         }
     }
 
@@ -117,29 +128,39 @@
         returns
     }
 
-    /// Takes the connection out of service.
-    pub(super) fn suspend(&mut self, now: Instant) {
-        self.phase = Phase::Suspended(now);
+    /// Takes the connection, whose set-ups are given up, out of service.
+    pub(super) fn suspend(&mut self, now: Instant, reason: EndReason) {
+        self.phase = Phase::Suspended(now, reason);
+        self.suspect_since = None;
     }
 
-    /// Judges the connection. `oldest_set_up` is the start of its oldest unanswered set-up, and `latest_answered_start`
-    /// the latest start of a set-up that was answered on any connection to the hub.
-    pub(super) fn verdict(
-        &self,
-        now: Instant,
-        oldest_set_up: Option<Instant>,
-        latest_answered_start: Option<Instant>,
-    ) -> Option<Verdict> {
-        let incomplete_for = |limit| self.partial_since.is_some_and(|since| now - since >= limit);
-        if incomplete_for(RELEASE_TIMEOUT) {
-            return Some(Verdict::End(EndReason::MessageIncomplete));
+    /// Judges the connection by what was observed on it.
+    pub(super) fn verdict(&self, now: Instant, observed: Observed<impl FnOnce() -> bool>) -> Option<Verdict> {
+        match self.phase {
+            Phase::InService => self.verdict_in_service(now, observed),
+            Phase::Suspended(since, reason) => {
+                let began = self.partial_since.unwrap_or(since);
+                let nothing_due = || self.partial_since.is_none() && !(observed.has_standing_calls)();
+                let over = now - began >= RELEASE_TIMEOUT || nothing_due();
+                over.then_some(Verdict::End(reason))
+            }
         }
-        if self.is_in_service() && incomplete_for(MESSAGE_TIMEOUT) {
+    }
+
+    fn verdict_in_service(&self, now: Instant, observed: Observed<impl FnOnce() -> bool>) -> Option<Verdict> {
+        if self.partial_since.is_some_and(|since| now - since >= MESSAGE_TIMEOUT) {
             return Some(Verdict::Suspend(EndReason::MessageIncomplete));
         }
-        let oldest = oldest_set_up.into_iter().chain(self.suspect_since).min();
-        let overtaken = oldest.is_some_and(|at| latest_answered_start >= Some(at + OVERTAKEN_ANSWER_TIMEOUT));
-        overtaken.then_some(Verdict::End(EndReason::AnswerOvertaken))
+        let oldest = observed.oldest_set_up.into_iter().chain(self.suspect_since).min();
+        let limit = oldest.map(|started| started + OVERTAKEN_ANSWER_TIMEOUT);
+        if limit.is_none() || observed.latest_answered_start < limit {
+            return None;
+        }
+        let delivers = self.partial_since.is_some() || (observed.has_standing_calls)();
+        Some(match delivers {
+            true => Verdict::Suspend(EndReason::AnswerOvertaken),
+            false => Verdict::End(EndReason::AnswerOvertaken),
+        })
     }
 }
 
--- a/tests/hub_link.rs
+++ b/tests/hub_link.rs
@@ -621,3 +621,34 @@
         }
     }
 }
+
+// Guards against a release lost with a connection, and its repetition with the next, that are closed as a later set-up
+// was answered first.
+#[tokio::test]
+async fn a_release_on_connections_that_later_answers_overtake_is_reported() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let mut link = ConnectedLink::dialling(&listener).await;
+    let slow = link.set_up(1).await;
+    link.answer(slow, 1).await;
+    // From now on nothing that the hub writes arrives, except on the prompt connection.
+    assert_eq!(link.set_up(2).await, slow);
+    tokio::time::sleep(OVERTAKEN_DELAY).await;
+    let prompt = link.set_up(3).await;
+    link.answer(prompt, 3).await;
+    assert!(matches!(link.next_event().await, FromHub::ConnectionLost(CallName(2), 3)));
+    let (next, _) = timeout(TEST_TIMEOUT, listener.accept()).await.expect("dialled").expect("accepted");
+    let mut first = std::mem::replace(&mut link.hub[slow], next);
+    assert_eq!(link.set_up(4).await, prompt, "the connection opened first");
+    assert_eq!(link.set_up(5).await, slow);
+    tokio::time::sleep(OVERTAKEN_DELAY).await;
+    link.answer(prompt, 4).await;
+    assert_eq!(link.set_up(6).await, prompt, "the least loaded connection");
+    link.answer(prompt, 6).await;
+    assert!(matches!(link.next_event().await, FromHub::ConnectionLost(CallName(5), 6)));
+    // The hub has released the call on its connection, and again on the next one.
+    let late = message(binary::kind::RELEASE, 1, Some(16));
+    let _ = first.write_all(&late).await;
+    let _ = link.hub[slow].write_all(&late).await;
+    let event = link.next_event().await;
+    assert!(matches!(event, FromHub::Released(CallName(1), Cause(16), ..)), "{event:?}");
+}
