Read a connection that is closed as silent or idle until its hub closes it too

The link closes the connection that was silent longest in favour of a new one. Its socket was read once more and closed; what the hub wrote before it saw the end met a closed socket.

Evidence: hub_link.rs, a_release_written_on_a_connection_that_was_just_closed_as_silent_is_reported, which forces the order. On the program of before the release is not read, and the stand-in, silent otherwise, is declared dead after 6.5 s.

Change: such a connection is closed for writing alone, and read until the hub closes it, for 8 s and 256 KiB and four a hub at most. Where descriptors are short it is closed at once, as before.

Why it works: the hub's end of the connection, not the link's, says that nothing more will come.

--- a/src/net/hub.rs
+++ b/src/net/hub.rs
@@ -34,8 +34,10 @@
 
 /// Capacity of a link's command channel. Each call sends a few commands at most.
 pub const COMMAND_QUEUE_CAPACITY: usize = 65_536;
-/// Maximum number of connections to one hub.
+/// Maximum number of connections to one hub that are open for writing.
 const MAX_CONNECTIONS: usize = 4;
+/// Maximum number of connections to one hub that are closed for writing and still read.
+const MAX_HALF_CLOSED_CONNECTIONS: usize = 4;
 /// Number of connections that are kept open. With two, a failure of one shows while the other still carries traffic.
 const TARGET_CONNECTIONS: usize = 2;
 /// Delay before the next dial once [`RESETS_BEFORE_DELAY`] connections in a row have ended without a byte received.
@@ -234,8 +236,10 @@
             ToHub::GiveUp(call, attempt) => self.give_up(call, attempt),
             ToHub::Release(call, cause) => {
                 let connection_id = self.standing_calls.remove(&call);
-                let matching = self.connections.iter().position(|c| Some(c.id) == connection_id);
-                let index = matching.or(self.connections.len().checked_sub(1));
+                let is_open = |c: &Connection| !c.lifecycle.is_half_closed();
+                let matching =
+                    self.connections.iter().position(|c| is_open(c) && Some(c.id) == connection_id);
+                let index = matching.or_else(|| self.connections.iter().rposition(is_open));
                 match index.and_then(|i| self.connections.get_mut(i)) {
                     Some(connection) => connection.queue.push_back(Outgoing::Release(call, cause)),
                     None => {
@@ -290,6 +294,16 @@
         self.waiting_releases.iter().rev().take_while(is_urgent).count()
     }
 
+    /// The connections that are open for writing, in the order in which they were opened.
+    fn open_connections_mut(&mut self) -> impl Iterator<Item = &mut Connection> {
+        self.connections.iter_mut().filter(|c| !c.lifecycle.is_half_closed())
+    }
+
+    /// Number of connections that are open for writing.
+    fn open_connections(&self) -> usize {
+        self.connections.iter().filter(|c| !c.lifecycle.is_half_closed()).count()
+    }
+
     /// Number of connections that take set-ups.
     fn connections_in_service(&self) -> usize {
         self.connections.iter().filter(|c| c.lifecycle.is_in_service()).count()
@@ -310,7 +324,7 @@
             self.next_dial = None;
             return;
         }
-        if self.dials.is_empty() && self.connections.len() < MAX_CONNECTIONS {
+        if self.dials.is_empty() && self.open_connections() < MAX_CONNECTIONS {
             self.next_dial = None;
             let (address, limit) = (self.address, self.limits.dial_timeout);
             let now = Instant::now();
@@ -353,7 +367,7 @@
                 self.liveness.record_connected(now);
                 self.connections_opened += 1;
                 metrics::HUB_DIALS.increment();
-                let open = self.connections.len() + 1;
+                let open = self.open_connections() + 1;
                 tracing::debug!(
                     link = self.id.0,
                     connection = self.connections_opened,
@@ -375,12 +389,12 @@
                 metrics::HUB_DIAL_FAILURES.increment();
                 let (silent_ms, standing) =
                     (self.liveness.silence(now).as_millis() as u64, self.standing_calls.len());
-                let (open, waiting) = (self.connections.len(), self.waiting_set_ups.len());
+                let (open, waiting) = (self.open_connections(), self.waiting_set_ups.len());
                 tracing::debug!(link = self.id.0, %error, waiting, open, silent_ms, standing, "dial failed");
                 self.report_waiting_unreachable();
                 self.next_dial = Some(now + self.backoff);
                 self.backoff = (self.backoff * 2).min(MAX_DIAL_BACKOFF);
-                let open = !self.connections.is_empty();
+                let open = self.open_connections() > 0;
                 if open {
                     self.probe_open_connections(now, error.kind());
                 }
@@ -401,7 +415,7 @@
     fn declare_dead(&mut self, now: Instant, why: &str) {
         metrics::HUBS_DEAD.increment();
         let silent_ms = self.liveness.silence(now).as_millis() as u64;
-        let (open, standing) = (self.connections.len(), self.standing_calls.len());
+        let (open, standing) = (self.open_connections(), self.standing_calls.len());
         tracing::info!(link = self.id.0, why, silent_ms, open, standing, "hub declared dead");
         self.close_all();
         self.standing_calls.clear();
@@ -454,10 +468,10 @@
     /// Checks that the hub is alive by dialling it, if necessary in place of a connection that is silent and idle. If
     /// all connections are open and none is idle, each has a set-up that waits for an answer, which serves as the probe.
     fn probe(&mut self, now: Instant) {
-        if self.connections.len() >= MAX_CONNECTIONS || self.connection_limit.is_exhausted() {
+        if self.open_connections() >= MAX_CONNECTIONS || self.connection_limit.is_exhausted() {
             self.close_silent(now, 1);
         }
-        if self.connections.len() >= MAX_CONNECTIONS {
+        if self.open_connections() >= MAX_CONNECTIONS {
             self.liveness.record_probe(now);
         }
         self.start_dial();
@@ -473,7 +487,7 @@
             return;
         }
         if self.limits.may_probe {
-            self.connections.iter_mut().for_each(|c| c.queue.push_back(Outgoing::Test));
+            self.open_connections_mut().for_each(|c| c.queue.push_back(Outgoing::Test));
         }
         if self.limits.may_probe || refused && self.set_up_cutoff.is_none() {
             self.liveness.record_probe(now);
@@ -488,10 +502,12 @@
     /// Closes the idle connection that has been silent for longest, if more than `keep` are open. Calls that stand do
     /// not depend on the connection they were set up on.
     fn close_silent(&mut self, now: Instant, keep: usize) {
-        if self.connections.len() <= keep {
+        if self.open_connections() <= keep {
             return;
         }
-        let silent = |c: &Connection| c.is_idle() && now - c.last_heard >= QUIET_TIMEOUT;
+        let silent = |c: &Connection| {
+            !c.lifecycle.is_half_closed() && c.is_idle() && now - c.last_heard >= QUIET_TIMEOUT
+        };
         let candidates = self.connections.iter().enumerate().filter(|(_, c)| silent(c));
         let longest_silent = candidates.min_by_key(|(_, c)| c.last_heard).map(|(index, _)| index);
         let Some(index) = longest_silent else { return };
@@ -502,11 +518,27 @@
         }
     }
 
-    /// Closes a connection that has no unanswered set-ups and nothing to write.
+    /// Closes a connection that has no unanswered set-ups and nothing to write. It is closed for writing only, and read
+    /// until the hub closes it too, as the hub may still write to it. Where descriptors are short it is closed at once.
     fn close_idle(&mut self, index: usize, reason: EndReason) {
-        let connection = self.connections.remove(index);
-        let open = self.connections.len();
-        tracing::debug!(link = self.id.0, connection = connection.id, ?reason, open, "connection closed");
+        let half_closed = self.connections.len() - self.open_connections();
+        let lingers = half_closed < MAX_HALF_CLOSED_CONNECTIONS && !self.connection_limit.is_exhausted();
+        let Some(connection) = self.connections.get_mut(index) else { return };
+        let id = connection.id;
+        let lingers = lingers && connection.half_close().is_ok();
+        if !lingers {
+            self.connections.remove(index);
+        }
+        let open = self.open_connections();
+        tracing::debug!(link = self.id.0, connection = id, ?reason, open, lingers, "connection closed");
+    }
+
+    /// Closes the half-closed connections if another link waits for a descriptor.
+    fn free_descriptors(&mut self) {
+        if self.connection_limit.has_waiters() {
+            self.read_all_connections();
+            self.connections.retain(|c| !c.lifecycle.is_half_closed());
+        }
     }
 
     /// Suspends or closes the connections that need it; see [`lifecycle`]. After an answer that was corrupted, cut short
@@ -558,11 +590,11 @@
     /// Reports the waiting set-ups as unreachable if every connection is suspended, none was until [`MESSAGE_TIMEOUT`]
     /// ago, and no further one may be opened.
     fn settle_unserved_set_ups(&mut self) {
-        if self.waiting_set_ups.is_empty() || self.connections.len() < MAX_CONNECTIONS {
+        if self.waiting_set_ups.is_empty() || self.open_connections() < MAX_CONNECTIONS {
             return;
         }
-        let suspended: Option<Vec<Instant>> =
-            self.connections.iter().map(|c| c.lifecycle.suspended_since()).collect();
+        let open = self.connections.iter().filter(|c| !c.lifecycle.is_half_closed());
+        let suspended: Option<Vec<Instant>> = open.map(|c| c.lifecycle.suspended_since()).collect();
         let latest = suspended.and_then(|since| since.into_iter().max());
         if latest.is_some_and(|since| since.elapsed() >= MESSAGE_TIMEOUT) {
             self.report_waiting_unreachable();
@@ -587,6 +619,7 @@
     /// Periodic checks: suspends and closes connections, dials missing ones, and probes a silent hub.
     fn maintain(&mut self) {
         self.judge_connections();
+        self.free_descriptors();
         let now = Instant::now();
         if self.connections_in_service() < self.target_connections() && self.next_dial.is_none() {
             self.redial();
@@ -594,7 +627,7 @@
         self.check_unresponsive(now);
         // A machine that failed or is cut off sends nothing, and its connections stay open.
         let quiet = self.is_quiet_with_calls(now) && now - self.last_connected >= QUIET_TIMEOUT;
-        if !self.connections.is_empty()
+        if self.open_connections() > 0
             && (quiet || self.answers_overdue(now) || self.has_call_on_silent_connection(now))
         {
             self.probe(now);
@@ -633,6 +666,7 @@
             match connection.input.fill(&connection.stream) {
                 Ok(count) if count > 0 => {
                     connection.last_heard = Instant::now();
+                    connection.lifecycle.record_bytes(count);
                     self.liveness.record_heard(connection.last_heard);
                     self.resets_in_a_row = 0;
                 }
@@ -738,6 +772,16 @@
     /// Removes a connection that has ended. Only the set-ups that had begun on it are broken; the others are queued again.
     fn connection_lost(&mut self, index: usize, reason: EndReason) {
         let connection = self.connections.remove(index);
+        if connection.lifecycle.is_half_closed() {
+            self.report_discarded_input(&connection);
+            tracing::debug!(
+                link = self.id.0,
+                connection = connection.id,
+                ?reason,
+                "half-closed connection ended"
+            );
+            return;
+        }
         metrics::HUB_CONNECTIONS_LOST.increment();
         self.report_discarded_input(&connection);
         tracing::debug!(
--- a/src/net/hub/connection.rs
+++ b/src/net/hub/connection.rs
@@ -12,6 +12,9 @@
 use crate::net::SDP;
 use std::collections::{HashMap, VecDeque};
 use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll, Waker};
+use tokio::io::AsyncWrite;
 use tokio::net::TcpStream;
 use tokio::time::{Duration, Instant};
 
@@ -89,6 +92,17 @@
         }
     }
 
+    /// Closes the connection for writing. The hub sees its end, and what it has written can still be read.
+    pub(super) fn half_close(&mut self) -> io::Result<()> {
+        let mut context = Context::from_waker(Waker::noop());
+        match Pin::new(&mut self.stream).poll_shutdown(&mut context) {
+            Poll::Ready(result) => result?,
+            Poll::Pending => return Err(io::ErrorKind::WouldBlock.into()),
+        }
+        self.lifecycle.half_close(Instant::now());
+        Ok(())
+    }
+
     /// Sort key for choosing a connection for a set-up: the number of open set-ups and queued messages. A suspect
     /// connection sorts after all others.
     pub(super) fn load(&self) -> (bool, usize) {
--- a/src/net/hub/lifecycle.rs
+++ b/src/net/hub/lifecycle.rs
@@ -5,6 +5,7 @@
 //! | a message is incomplete for [`MESSAGE_TIMEOUT`] | its rest, and releases behind it | suspended | [`RELEASE_TIMEOUT`] after the message began |
 //! | an answer is overtaken by [`OVERTAKEN_ANSWER_TIMEOUT`] | it, and releases of the calls set up there | suspended | [`RELEASE_TIMEOUT`] later |
 //! | the same, or suspended for it, without a call set up there | the answer alone | – | at once |
+//! | it is idle and surplus, or silent and another one takes its place | what the hub wrote before it saw the close | half-closed | when the hub closes it; [`RELEASE_TIMEOUT`] or [`MAX_LINGER_BYTES`] later |
 //! | a suspended connection delivers a whole message | more messages | in service again | – |
 //!
 //! The set-ups of a suspended connection are given up by a message, so that they wait no longer than if it was closed.
@@ -21,6 +22,9 @@
 /// Time within which a call that is over must be released. A suspended connection is read for this long.
 const RELEASE_TIMEOUT: Duration = Duration::from_secs(8);
 
+/// Maximum number of bytes that are read on a half-closed connection.
+const MAX_LINGER_BYTES: usize = 256 * 1024;
+
 /// Why a connection ends or is suspended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum EndReason {
@@ -38,6 +42,8 @@
     Silent,
     /// It was surplus and idle.
     Idle,
+    /// It was half-closed, and read up to a limit.
+    Lingered,
 }
 
 /// What has to be done with a connection.
@@ -66,6 +72,8 @@
     InService,
     /// It takes no set-ups since this time for this reason, and is read.
     Suspended(Instant, EndReason),
+    /// It is closed for writing since this time. At most this many further bytes are read.
+    HalfClosed(Instant, usize),
 }
 
 /// The phase of one connection, and what was observed on it.
@@ -88,11 +96,16 @@
         self.phase == Phase::InService
     }
 
+    /// Whether the connection is closed for writing.
+    pub(super) fn is_half_closed(&self) -> bool {
+        matches!(self.phase, Phase::HalfClosed(..))
+    }
+
     /// Since when the connection is suspended, if it is.
     pub(super) fn suspended_since(&self) -> Option<Instant> {
         match self.phase {
-            Phase::InService => None,
             Phase::Suspended(since, _) => Some(since),
+            Phase::InService | Phase::HalfClosed(..) => None,
         }
     }
 
@@ -121,13 +134,25 @@
     pub(super) fn record_input(&mut self, now: Instant, completed: bool, incomplete: bool) -> bool {
         let since = self.partial_since.filter(|_| !completed).unwrap_or(now);
         self.partial_since = incomplete.then_some(since);
-        let returns = completed && !self.is_in_service();
+        let returns = completed && self.suspended_since().is_some();
         if returns {
             self.phase = Phase::InService;
         }
         returns
     }
 
+    /// Records that this many bytes were read.
+    pub(super) fn record_bytes(&mut self, count: usize) {
+        if let Phase::HalfClosed(_, remaining) = &mut self.phase {
+            *remaining = remaining.saturating_sub(count);
+        }
+    }
+
+    /// Records that the connection is closed for writing.
+    pub(super) fn half_close(&mut self, now: Instant) {
+        self.phase = Phase::HalfClosed(now, MAX_LINGER_BYTES);
+    }
+
     /// Takes the connection, whose set-ups are given up, out of service.
     pub(super) fn suspend(&mut self, now: Instant, reason: EndReason) {
         self.phase = Phase::Suspended(now, reason);
@@ -144,6 +169,10 @@
                 let over = now - began >= RELEASE_TIMEOUT || nothing_due();
                 over.then_some(Verdict::End(reason))
             }
+            Phase::HalfClosed(since, remaining) => {
+                let over = now - since >= RELEASE_TIMEOUT || remaining == 0;
+                over.then_some(Verdict::End(EndReason::Lingered))
+            }
         }
     }
 
--- a/src/net/hub/lifecycle/tests.rs
+++ b/src/net/hub/lifecycle/tests.rs
@@ -71,3 +71,18 @@
     lifecycle.record_input(before_limit, false, true);
     assert_eq!(lifecycle.verdict(start + RELEASE_TIMEOUT, overtaken(false)), None);
 }
+
+#[test]
+fn a_half_closed_connection_ends_after_the_release_limit_or_the_byte_limit_and_never_returns() {
+    let start = Instant::now();
+    let end = Some(Verdict::End(EndReason::Lingered));
+    let mut lifecycle = Lifecycle::new();
+    lifecycle.half_close(start);
+    assert!(!lifecycle.record_input(start, true, false) && !lifecycle.is_in_service());
+    assert_eq!(lifecycle.verdict(start + RELEASE_TIMEOUT - INTERVAL, nothing_due()), None);
+    assert_eq!(lifecycle.verdict(start + RELEASE_TIMEOUT, nothing_due()), end);
+    lifecycle.record_bytes(MAX_LINGER_BYTES - 1);
+    assert_eq!(lifecycle.verdict(start, nothing_due()), None);
+    lifecycle.record_bytes(1);
+    assert_eq!(lifecycle.verdict(start, nothing_due()), end);
+}
--- a/src/net/hub/messages.rs
+++ b/src/net/hub/messages.rs
@@ -61,7 +61,8 @@
                 true => FromHub::ReleasedUnanswered(call, cause, report),
                 false => FromHub::Released(call, cause, note, report),
             });
-            if connection.queue.len() < MAX_QUEUED_RELEASE_ACKS {
+            let is_writable = !connection.lifecycle.is_half_closed();
+            if is_writable && connection.queue.len() < MAX_QUEUED_RELEASE_ACKS {
                 connection.queue.push_back(Outgoing::ReleaseAck(call));
             }
             // A hub refuses unusable set-ups at once, ahead of those in its queue. If a refusal counted as an
--- a/tests/hub_link.rs
+++ b/tests/hub_link.rs
@@ -652,3 +652,17 @@
     let event = link.next_event().await;
     assert!(matches!(event, FromHub::Released(CallName(1), Cause(16), ..)), "{event:?}");
 }
+
+// Guards against a release lost because a hub that hung writes it on a connection that was just closed as silent.
+#[tokio::test]
+async fn a_release_written_on_a_connection_that_was_just_closed_as_silent_is_reported() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let mut link = ConnectedLink::dialling(&listener).await;
+    let (silent, _) = calls_on_separate_connections(&mut link).await;
+    // Both connections are silent, so the link dials, and closes the one that was silent longest.
+    let (_next, _) = timeout(TEST_TIMEOUT, listener.accept()).await.expect("dialled").expect("accepted");
+    link.wait_closed(silent).await;
+    release_on(&mut link.hub[silent], 1).await;
+    let event = link.next_event().await;
+    assert!(matches!(event, FromHub::Released(CallName(1), Cause(16), ..)), "{event:?}");
+}
