Read a connection that is not needed once it is up for the releases repeated on it

A dial that had only checked that the hub is reachable was dropped unread where no known call stands. A hub repeats its releases on the next connection, also those of calls from before a restart of the program, which it passes on without knowing them.

Evidence: hub_link.rs, a_release_on_a_connection_that_is_no_longer_needed_is_reported.

Change: the connection is half-closed and read, as one that is closed as silent. dial_finished is split in two. hub_dials now counts these connections too, as its description says.

--- a/src/net/hub.rs
+++ b/src/net/hub.rs
@@ -350,62 +350,61 @@
 
     /// Adds the new connection, or schedules the next dial and judges by the error whether the hub is dead.
     fn dial_finished(&mut self, result: io::Result<(TcpStream, ConnectionPermit)>) {
-        let now = Instant::now();
         match result {
-            Ok((stream, permit)) => {
-                self.backoff = MIN_DIAL_BACKOFF;
-                self.next_dial = None;
-                if self.connections_in_service() >= self.target_connections().max(1)
-                    && !self.answers_overdue(now)
-                    && self.standing_calls.is_empty()
-                {
-                    // The dial only checked that the hub is reachable, so the connection is dropped. While calls
-                    // stand it is kept, as the hub repeats on it the releases lost on a silent connection.
-                    return;
-                }
-                self.last_connected = now;
-                self.liveness.record_connected(now);
-                self.connections_opened += 1;
-                metrics::HUB_DIALS.increment();
-                let open = self.open_connections() + 1;
-                tracing::debug!(
-                    link = self.id.0,
-                    connection = self.connections_opened,
-                    open,
-                    "connection opened"
-                );
-                let mut queue: VecDeque<Outgoing> = self
-                    .waiting_releases
-                    .drain(..)
-                    .map(|(_, call, cause)| Outgoing::Release(call, cause))
-                    .collect();
-                queue.extend(self.waiting_set_ups.drain(..).map(Outgoing::SetUp));
-                self.connections.push(Connection::new(self.connections_opened, stream, queue, permit, now));
-                self.close_silent(now, self.target_connections().max(1));
-            }
-            Err(error) => {
-                // Messages that arrived during the dial are still unread and may show that the hub is alive.
-                self.read_all_connections();
-                metrics::HUB_DIAL_FAILURES.increment();
-                let (silent_ms, standing) =
-                    (self.liveness.silence(now).as_millis() as u64, self.standing_calls.len());
-                let (open, waiting) = (self.open_connections(), self.waiting_set_ups.len());
-                tracing::debug!(link = self.id.0, %error, waiting, open, silent_ms, standing, "dial failed");
-                self.report_waiting_unreachable();
-                self.next_dial = Some(now + self.backoff);
-                self.backoff = (self.backoff * 2).min(MAX_DIAL_BACKOFF);
-                let open = self.open_connections() > 0;
-                if open {
-                    self.probe_open_connections(now, error.kind());
-                }
-                // The calls of a process that died are over, and nothing else reports that. A refused connection
-                // proves that the process is gone; a machine that failed does not even refuse.
-                if self.liveness.dial_failed(now, error.kind(), open)
-                    && (open || !self.standing_calls.is_empty())
-                {
-                    self.declare_dead(now, &error.to_string());
-                }
-            }
+            Ok((stream, permit)) => self.dial_succeeded(stream, permit),
+            Err(error) => self.dial_failed(&error),
+        }
+    }
+
+    /// Adds the new connection. One that is not needed any more is closed, as its dial only checked that the hub is
+    /// reachable. While calls stand it is kept, as the hub repeats on it the releases lost on a silent connection.
+    fn dial_succeeded(&mut self, stream: TcpStream, permit: ConnectionPermit) {
+        let now = Instant::now();
+        self.backoff = MIN_DIAL_BACKOFF;
+        self.next_dial = None;
+        let needed = self.connections_in_service() < self.target_connections().max(1)
+            || self.answers_overdue(now)
+            || !self.standing_calls.is_empty();
+        self.connections_opened += 1;
+        metrics::HUB_DIALS.increment();
+        let id = self.connections_opened;
+        let open = self.open_connections() + 1;
+        tracing::debug!(link = self.id.0, connection = id, open, needed, "connection opened");
+        let mut connection = Connection::new(id, stream, VecDeque::new(), permit, now);
+        if !needed {
+            self.connections.push(connection);
+            return self.close_idle(self.connections.len() - 1, EndReason::Surplus);
+        }
+        self.last_connected = now;
+        self.liveness.record_connected(now);
+        let releases = self.waiting_releases.drain(..);
+        connection.queue.extend(releases.map(|(_, call, cause)| Outgoing::Release(call, cause)));
+        connection.queue.extend(self.waiting_set_ups.drain(..).map(Outgoing::SetUp));
+        self.connections.push(connection);
+        self.close_silent(now, self.target_connections().max(1));
+    }
+
+    /// Schedules the next dial, and judges by the error whether the hub is dead.
+    fn dial_failed(&mut self, error: &io::Error) {
+        let now = Instant::now();
+        // Messages that arrived during the dial are still unread and may show that the hub is alive.
+        self.read_all_connections();
+        metrics::HUB_DIAL_FAILURES.increment();
+        let (silent_ms, standing) =
+            (self.liveness.silence(now).as_millis() as u64, self.standing_calls.len());
+        let (open, waiting) = (self.open_connections(), self.waiting_set_ups.len());
+        tracing::debug!(link = self.id.0, %error, waiting, open, silent_ms, standing, "dial failed");
+        self.report_waiting_unreachable();
+        self.next_dial = Some(now + self.backoff);
+        self.backoff = (self.backoff * 2).min(MAX_DIAL_BACKOFF);
+        let open = self.open_connections() > 0;
+        if open {
+            self.probe_open_connections(now, error.kind());
+        }
+        // The calls of a process that died are over, and nothing else reports that. A refused connection
+        // proves that the process is gone; a machine that failed does not even refuse.
+        if self.liveness.dial_failed(now, error.kind(), open) && (open || !self.standing_calls.is_empty()) {
+            self.declare_dead(now, &error.to_string());
         }
     }
 
--- a/src/net/hub/lifecycle.rs
+++ b/src/net/hub/lifecycle.rs
@@ -5,7 +5,7 @@
 //! | a message is incomplete for [`MESSAGE_TIMEOUT`] | its rest, and releases behind it | suspended | [`RELEASE_TIMEOUT`] after the message began |
 //! | an answer is overtaken by [`OVERTAKEN_ANSWER_TIMEOUT`] | it, and releases of the calls set up there | suspended | [`RELEASE_TIMEOUT`] later |
 //! | the same, or suspended for it, without a call set up there | the answer alone | – | at once |
-//! | it is idle and surplus, or silent and another one takes its place | what the hub wrote before it saw the close | half-closed | when the hub closes it; [`RELEASE_TIMEOUT`] or [`MAX_LINGER_BYTES`] later |
+//! | it is surplus, or silent and another one takes its place | what the hub wrote before it saw the close | half-closed | when the hub closes it; [`RELEASE_TIMEOUT`] or [`MAX_LINGER_BYTES`] later |
 //! | a suspended connection delivers a whole message | more messages | in service again | – |
 //!
 //! The set-ups of a suspended connection are given up by a message, so that they wait no longer than if it was closed.
@@ -42,6 +42,8 @@
     Silent,
     /// It was surplus and idle.
     Idle,
+    /// It was not needed any more when its dial succeeded.
+    Surplus,
     /// It was half-closed, and read up to a limit.
     Lingered,
 }
--- a/tests/hub_link.rs
+++ b/tests/hub_link.rs
@@ -666,3 +666,28 @@
     let event = link.next_event().await;
     assert!(matches!(event, FromHub::Released(CallName(1), Cause(16), ..)), "{event:?}");
 }
+
+// Guards against a release of a call from before a restart lost on a connection that is not needed once it is up.
+#[tokio::test]
+async fn a_release_on_a_connection_that_is_no_longer_needed_is_reported() {
+    let listener = listener_with_short_accept_queue();
+    let mut link = ConnectedLink::dialling(&listener).await;
+    let fillers = fill_accept_queue(&listener).await;
+    // The hub is dialled because an answer is overdue, and refuses the set-up before the connection is up.
+    let at = link.set_up(1).await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    link.hub[at].write_all(&message(binary::kind::RELEASE, 1, Some(34))).await.expect("written");
+    assert!(matches!(link.next_event().await, FromHub::Released(CallName(1), Cause(34), ..)));
+    drop(fillers);
+    let start = std::time::Instant::now();
+    loop {
+        assert!(start.elapsed() < TEST_TIMEOUT, "the release is not reported");
+        let (mut hub, _) = timeout(TEST_TIMEOUT, listener.accept()).await.expect("dialled").expect("up");
+        // Connections that only filled the queue are closed.
+        let _ = hub.write_all(&message(binary::kind::RELEASE, 99, Some(16))).await;
+        if let Ok(Some(Input::Hub(_, event))) = timeout(Duration::from_secs(1), link.events.recv()).await {
+            assert!(matches!(event, FromHub::Released(CallName(99), Cause(16), ..)), "{event:?}");
+            return;
+        }
+    }
+}
