Read a connection that a later answer overtakes also where no call stands on it

A call whose own connection is gone has its release on any other, or repeated on the next one that is opened. Where a later answer overtook a set-up there, that connection was closed with the release on its way.

Evidence: hub_link.rs, a_release_repeated_on_a_connection_that_a_later_answer_overtakes_is_reported.

Change: the connection is closed for writing, which ends its set-ups for the hub as a close does, and is read until the hub closes it. The same holds where the give-ups of a connection that is to be suspended cannot be written at once. What a closed connection had to do is a type (ConnectionWork) in place of a list.

--- a/src/net/hub.rs
+++ b/src/net/hub.rs
@@ -17,7 +17,7 @@
 use crate::core::{CallName, Cause, Clock, FromHub, Input, LinkId, SetUp, ToHub};
 use crate::interface::Micros;
 use crate::metrics;
-use connection::{Connection, Outgoing};
+use connection::{Connection, ConnectionWork, Outgoing};
 use lifecycle::{EndReason, Verdict, MESSAGE_TIMEOUT};
 use liveness::Liveness;
 use messages::handle_message;
@@ -436,10 +436,13 @@
     /// Closes all connections and settles all set-ups: those that have begun may have run, the others never did.
     fn close_all(&mut self) {
         let mut never_begun: Vec<SetUp> = self.waiting_set_ups.drain(..).collect();
-        for connection in std::mem::take(&mut self.connections) {
+        for mut connection in std::mem::take(&mut self.connections) {
             let open = connection.open_set_ups.len();
             tracing::debug!(link = self.id.0, connection = connection.id, open, "connection closed");
-            never_begun.extend(self.settle(connection).into_iter().filter_map(|outgoing| match outgoing {
+            let work = connection.take_work();
+            drop(connection);
+            self.report_broken(&work);
+            never_begun.extend(work.unwritten.into_iter().filter_map(|outgoing| match outgoing {
                 Outgoing::SetUp(set_up) => Some(set_up),
                 _ => None,
             }));
@@ -520,11 +523,8 @@
     /// Closes a connection that has no unanswered set-ups and nothing to write. It is closed for writing only, and read
     /// until the hub closes it too, as the hub may still write to it. Where descriptors are short it is closed at once.
     fn close_idle(&mut self, index: usize, reason: EndReason) {
-        let half_closed = self.connections.len() - self.open_connections();
-        let lingers = half_closed < MAX_HALF_CLOSED_CONNECTIONS && !self.connection_limit.is_exhausted();
-        let Some(connection) = self.connections.get_mut(index) else { return };
-        let id = connection.id;
-        let lingers = lingers && connection.half_close().is_ok();
+        let lingers = self.try_half_close(index);
+        let id = self.connections.get(index).map_or(0, |connection| connection.id);
         if !lingers {
             self.connections.remove(index);
         }
@@ -532,6 +532,33 @@
         tracing::debug!(link = self.id.0, connection = id, ?reason, open, lingers, "connection closed");
     }
 
+    /// Closes a connection with unanswered set-ups, which settles them, and reads it until the hub closes it too.
+    fn half_close(&mut self, index: usize, reason: EndReason) {
+        if !self.try_half_close(index) {
+            return self.connection_lost(index, reason);
+        }
+        let Some(connection) = self.connections.get_mut(index) else { return };
+        metrics::HUB_CONNECTIONS_LOST.increment();
+        tracing::debug!(
+            link = self.id.0,
+            connection = connection.id,
+            open = connection.open_set_ups.len(),
+            ?reason,
+            "connection half-closed"
+        );
+        let work = connection.take_work();
+        self.settle(work);
+    }
+
+    /// Closes a connection for writing, if it may be read any further; returns whether it is closed so.
+    fn try_half_close(&mut self, index: usize) -> bool {
+        let half_closed = self.connections.len() - self.open_connections();
+        if half_closed >= MAX_HALF_CLOSED_CONNECTIONS || self.connection_limit.is_exhausted() {
+            return false;
+        }
+        self.connections.get_mut(index).is_some_and(|connection| connection.half_close().is_ok())
+    }
+
     /// Closes the half-closed connections if another link waits for a descriptor.
     fn free_descriptors(&mut self) {
         if self.connection_limit.has_waiters() {
@@ -553,6 +580,7 @@
             let ended = self.read_available(index).err().map(Verdict::End);
             match ended.or_else(|| self.connections.get(index).and_then(|c| verdict(c, self))) {
                 Some(Verdict::Suspend(reason)) => self.suspend(index, reason),
+                Some(Verdict::HalfClose(reason)) => self.half_close(index, reason),
                 Some(Verdict::End(reason)) => self.connection_lost(index, reason),
                 None => {}
             }
@@ -578,7 +606,7 @@
         connection.abandon_open_set_ups();
         let written = connection.write(now, self.set_up_cutoff, &mut self.events);
         if written.is_err() || connection.has_unsent_output() {
-            self.connection_lost(index, reason);
+            self.half_close(index, reason);
         }
         self.redial();
         for set_up in withdrawn {
@@ -770,7 +798,7 @@
 
     /// Removes a connection that has ended. Only the set-ups that had begun on it are broken; the others are queued again.
     fn connection_lost(&mut self, index: usize, reason: EndReason) {
-        let connection = self.connections.remove(index);
+        let mut connection = self.connections.remove(index);
         if connection.lifecycle.is_half_closed() {
             self.report_discarded_input(&connection);
             tracing::debug!(
@@ -793,9 +821,17 @@
         );
         // Counted so that a hub that resets each connection it accepts is not dialled in a tight loop.
         self.resets_in_a_row += u32::from(connection.last_heard == connection.opened_at);
-        let unwritten = self.settle(connection);
+        let work = connection.take_work();
+        drop(connection);
+        self.settle(work);
+    }
+
+    /// Reports the set-ups that had begun on a connection that is closed now as broken, dials another connection, and
+    /// queues there what had not been written.
+    fn settle(&mut self, work: ConnectionWork) {
+        self.report_broken(&work);
         self.redial();
-        for outgoing in unwritten {
+        for outgoing in work.unwritten {
             match outgoing {
                 Outgoing::SetUp(set_up) => self.handle_command(ToHub::SetUp(set_up)),
                 Outgoing::Release(call, cause) => self.handle_command(ToHub::Release(call, cause)),
@@ -805,6 +841,11 @@
         }
     }
 
+    fn report_broken(&mut self, work: &ConnectionWork) {
+        let broken = work.begun.iter().map(|(call, set_up)| FromHub::ConnectionLost(*call, set_up.attempt));
+        self.events.extend(broken);
+    }
+
     /// Counts and logs the incomplete message that ends with a connection.
     fn report_discarded_input(&self, connection: &Connection) {
         let input = connection.input.unconsumed();
@@ -825,22 +866,6 @@
         );
     }
 
-    /// Closes a connection and reports the set-ups that had begun on it as broken. Returns the messages that had not
-    /// been written.
-    fn settle(&mut self, connection: Connection) -> Vec<Outgoing> {
-        let Connection { open_set_ups, staged, queue, stream, .. } = connection;
-        drop(stream);
-        let mut begun: Vec<_> = open_set_ups.into_iter().collect();
-        begun.sort_by_key(|(_, set_up)| set_up.started);
-        let begun_attempts: Vec<u64> = begun.iter().map(|(_, set_up)| set_up.attempt).collect();
-        self.events
-            .extend(begun.into_iter().map(|(call, set_up)| FromHub::ConnectionLost(call, set_up.attempt)));
-        let unwritten = staged.into_iter().map(|(_, outgoing)| outgoing).chain(queue);
-        unwritten
-            .filter(|outgoing| !matches!(outgoing, Outgoing::SetUp(s) if begun_attempts.contains(&s.attempt)))
-            .collect()
-    }
-
     /// Writes what each connection has queued, as far as the sockets take it.
     fn write_connections(&mut self) {
         let now = self.clock.now();
--- a/src/net/hub/connection.rs
+++ b/src/net/hub/connection.rs
@@ -46,6 +46,14 @@
     pub(super) started: Instant,
 }
 
+/// What a connection had to do when it was closed.
+pub(super) struct ConnectionWork {
+    /// The unanswered set-ups, the oldest first.
+    pub(super) begun: Vec<(CallName, OpenSetUp)>,
+    /// The messages that were not written, but for those of the set-ups in `begun`.
+    pub(super) unwritten: Vec<Outgoing>,
+}
+
 /// An established connection.
 pub(super) struct Connection {
     pub(super) id: u64,
@@ -159,6 +167,21 @@
         withdrawn
     }
 
+    /// Takes all set-ups and messages from a connection that is closed.
+    pub(super) fn take_work(&mut self) -> ConnectionWork {
+        let mut begun: Vec<_> = std::mem::take(&mut self.open_set_ups).into_iter().collect();
+        begun.sort_by_key(|(_, set_up)| set_up.started);
+        self.output.clear();
+        let staged = std::mem::take(&mut self.staged).into_iter().map(|(_, outgoing)| outgoing);
+        let has_begun = |outgoing: &Outgoing| {
+            let of_set_up = |attempt| begun.iter().any(|(_, set_up)| set_up.attempt == attempt);
+            matches!(outgoing, Outgoing::SetUp(s) if of_set_up(s.attempt))
+        };
+        let unwritten =
+            staged.chain(std::mem::take(&mut self.queue)).filter(|outgoing| !has_begun(outgoing)).collect();
+        ConnectionWork { begun, unwritten }
+    }
+
     /// Queues a give-up of each open set-up that has none yet, the oldest first.
     pub(super) fn abandon_open_set_ups(&mut self) {
         let is_given_up = |call: &CallName| {
--- a/src/net/hub/lifecycle.rs
+++ b/src/net/hub/lifecycle.rs
@@ -4,7 +4,7 @@
 //! | --- | --- | --- | --- |
 //! | a message is incomplete for [`MESSAGE_TIMEOUT`] | its rest, and releases behind it | suspended | [`RELEASE_TIMEOUT`] after the message began |
 //! | an answer is overtaken by [`OVERTAKEN_ANSWER_TIMEOUT`] | it, and releases of the calls set up there | suspended | [`RELEASE_TIMEOUT`] later |
-//! | the same, or suspended for it, without a call set up there | the answer alone | – | at once |
+//! | the same, or suspended for it, without a call set up there | what the hub wrote before it saw the close | half-closed | as below |
 //! | it is surplus, or silent and another one takes its place | what the hub wrote before it saw the close | half-closed | when the hub closes it; [`RELEASE_TIMEOUT`] or [`MAX_LINGER_BYTES`] later |
 //! | a suspended connection delivers a whole message | more messages | in service again | – |
 //!
@@ -53,6 +53,8 @@
 pub(super) enum Verdict {
     /// Take it out of service and read on.
     Suspend(EndReason),
+    /// Close it for writing and read on.
+    HalfClose(EndReason),
     /// Close it.
     End(EndReason),
 }
@@ -166,10 +168,11 @@
         match self.phase {
             Phase::InService => self.verdict_in_service(now, observed),
             Phase::Suspended(since, reason) => {
-                let began = self.partial_since.unwrap_or(since);
-                let nothing_due = || self.partial_since.is_none() && !(observed.has_standing_calls)();
-                let over = now - began >= RELEASE_TIMEOUT || nothing_due();
-                over.then_some(Verdict::End(reason))
+                if now - self.partial_since.unwrap_or(since) >= RELEASE_TIMEOUT {
+                    return Some(Verdict::End(reason));
+                }
+                let is_needed = self.partial_since.is_some() || (observed.has_standing_calls)();
+                (!is_needed).then_some(Verdict::HalfClose(reason))
             }
             Phase::HalfClosed(since, remaining) => {
                 let over = now - since >= RELEASE_TIMEOUT || remaining == 0;
@@ -190,7 +193,7 @@
         let delivers = self.partial_since.is_some() || (observed.has_standing_calls)();
         Some(match delivers {
             true => Verdict::Suspend(EndReason::AnswerOvertaken),
-            false => Verdict::End(EndReason::AnswerOvertaken),
+            false => Verdict::HalfClose(EndReason::AnswerOvertaken),
         })
     }
 }
--- a/tests/hub_link.rs
+++ b/tests/hub_link.rs
@@ -691,3 +691,29 @@
         }
     }
 }
+
+// Guards against a release, repeated as its connection is gone, that is lost when a later answer overtakes the next one.
+#[tokio::test]
+async fn a_release_repeated_on_a_connection_that_a_later_answer_overtakes_is_reported() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let mut link = ConnectedLink::dialling(&listener).await;
+    let lost = link.set_up(1).await;
+    link.answer(lost, 1).await;
+    link.hub[lost].shutdown().await.expect("shut");
+    link.wait_closed(lost).await;
+    let (next, _) = timeout(TEST_TIMEOUT, listener.accept()).await.expect("dialled").expect("accepted");
+    (link.hub[lost], link.open[lost]) = (next, true);
+    let (slow, prompt) = (lost, 1 - lost);
+    assert_eq!(link.set_up(2).await, prompt, "the connection opened first");
+    assert_eq!(link.set_up(3).await, slow);
+    tokio::time::sleep(OVERTAKEN_DELAY).await;
+    link.answer(prompt, 2).await;
+    assert_eq!(link.set_up(4).await, prompt, "the least loaded connection");
+    link.answer(prompt, 4).await;
+    assert!(matches!(link.next_event().await, FromHub::ConnectionLost(CallName(3), 4)));
+    link.wait_closed(slow).await;
+    // What the hub wrote there before it saw the end arrives late.
+    release_on(&mut link.hub[slow], 1).await;
+    let event = link.next_event().await;
+    assert!(matches!(event, FromHub::Released(CallName(1), Cause(16), ..)), "{event:?}");
+}
