Split the link to a hub by concern: dialling, and the ends of connections

Dialling and probing are net/hub/dialling.rs, and what suspends, half-closes and closes connections and settles what was open on them is net/hub/closing.rs, with the constants that only they use. Functions are moved as they were.

--- a/src/net/hub.rs
+++ b/src/net/hub.rs
@@ -4,21 +4,22 @@
 //! first byte can be written, so that they can still be withdrawn. Events reach the core in the order in which the
 //! hub sent the messages behind them.
 
+mod closing;
 mod connection;
+mod dialling;
 mod lifecycle;
 mod liveness;
 mod messages;
 
 use super::binary::{self, kind, Message};
 use super::connection_limit::{self, ConnectionLimit, ConnectionPermit};
-use super::dial::dial;
 use super::shared_count::{CountShare, SharedCount};
 use crate::config::Limits;
 use crate::core::{CallName, Cause, Clock, FromHub, Input, LinkId, SetUp, ToHub};
 use crate::interface::Micros;
-use crate::metrics;
-use connection::{Connection, ConnectionWork, Outgoing};
-use lifecycle::{EndReason, Verdict, MESSAGE_TIMEOUT};
+use connection::{Connection, Outgoing};
+use dialling::MIN_DIAL_BACKOFF;
+use lifecycle::{EndReason, MESSAGE_TIMEOUT};
 use liveness::Liveness;
 use messages::handle_message;
 use std::collections::{HashMap, VecDeque};
@@ -36,14 +37,6 @@
 pub const COMMAND_QUEUE_CAPACITY: usize = 65_536;
 /// Maximum number of connections to one hub that are open for writing.
 const MAX_CONNECTIONS: usize = 4;
-/// Maximum number of connections to one hub that are closed for writing and still read.
-const MAX_HALF_CLOSED_CONNECTIONS: usize = 4;
-/// Number of connections that are kept open. With two, a failure of one shows while the other still carries traffic.
-const TARGET_CONNECTIONS: usize = 2;
-/// Delay before the next dial once [`RESETS_BEFORE_DELAY`] connections in a row have ended without a byte received.
-const RESET_REDIAL_DELAY: Duration = Duration::from_millis(100);
-/// Number of consecutive connections that may end without a byte received before redials are delayed.
-const RESETS_BEFORE_DELAY: u32 = 2;
 /// Number of times that the link yields to the runtime before a set-up begins: once for the fronts to read their
 /// sockets, once for the core to process what they read, and once more in case the core checks its clock in between.
 /// Without the yields, on a machine short of CPU time, the link would see that the hub is reading again before it
@@ -57,10 +50,6 @@
 const MAX_YIELD_RETRIES: usize = 3;
 /// Maximum number of reads from one connection before the link turns to its other work.
 const MAX_READS_PER_WAKEUP: usize = 64;
-/// Delay before the next dial after a failed one; it doubles with each further failure.
-const MIN_DIAL_BACKOFF: Duration = Duration::from_millis(100);
-/// Upper bound of the delay between failed dials.
-const MAX_DIAL_BACKOFF: Duration = Duration::from_secs(1);
 /// Silence after which a hub with standing calls is dialled to check that it is alive, and after which an idle connection
 /// may be closed in favour of a new one.
 const QUIET_TIMEOUT: Duration = Duration::from_secs(3);
@@ -309,119 +298,6 @@
         self.connections.iter().filter(|c| c.lifecycle.is_in_service()).count()
     }
 
-    /// Number of connections to keep in service: [`TARGET_CONNECTIONS`], or fewer if there are more hubs than file
-    /// descriptors, but at least one while calls or queued commands need it.
-    fn target_connections(&self) -> usize {
-        let needed = !self.waiting_set_ups.is_empty()
-            || self.urgent_releases(Instant::now()) > 0
-            || !self.standing_calls.is_empty();
-        self.connection_limit.allowance(TARGET_CONNECTIONS).max(usize::from(needed))
-    }
-
-    /// Starts a dial unless one is running or the maximum of connections is open.
-    fn start_dial(&mut self) {
-        if self.target_connections() == 0 {
-            self.next_dial = None;
-            return;
-        }
-        if self.dials.is_empty() && self.open_connections() < MAX_CONNECTIONS {
-            self.next_dial = None;
-            let (address, limit) = (self.address, self.limits.dial_timeout);
-            let now = Instant::now();
-            let is_urgent = !self.waiting_set_ups.is_empty()
-                || self.urgent_releases(now) > 0
-                || self.is_quiet_with_calls(now);
-            let permit = self.connection_limit.acquire(is_urgent);
-            self.dials.spawn(async move {
-                let address = address.ok_or(io::ErrorKind::InvalidInput)?;
-                let permit = permit.await?;
-                Ok((dial(address, limit).await?, permit))
-            });
-        }
-    }
-
-    /// Dials at once, or after a delay if the hub accepts connections only to reset them.
-    fn redial(&mut self) {
-        match self.resets_in_a_row < RESETS_BEFORE_DELAY {
-            true => self.start_dial(),
-            false => self.next_dial = self.next_dial.or(Some(Instant::now() + RESET_REDIAL_DELAY)),
-        }
-    }
-
-    /// Adds the new connection, or schedules the next dial and judges by the error whether the hub is dead.
-    fn dial_finished(&mut self, result: io::Result<(TcpStream, ConnectionPermit)>) {
-        match result {
-            Ok((stream, permit)) => self.dial_succeeded(stream, permit),
-            Err(error) => self.dial_failed(&error),
-        }
-    }
-
-    /// Adds the new connection. One that is not needed any more is closed, as its dial only checked that the hub is
-    /// reachable. While calls stand it is kept, as the hub repeats on it the releases lost on a silent connection.
-    fn dial_succeeded(&mut self, stream: TcpStream, permit: ConnectionPermit) {
-        let now = Instant::now();
-        self.backoff = MIN_DIAL_BACKOFF;
-        self.next_dial = None;
-        let needed = self.connections_in_service() < self.target_connections().max(1)
-            || self.answers_overdue(now)
-            || !self.standing_calls.is_empty();
-        self.connections_opened += 1;
-        metrics::HUB_DIALS.increment();
-        let id = self.connections_opened;
-        let open = self.open_connections() + 1;
-        tracing::debug!(link = self.id.0, connection = id, open, needed, "connection opened");
-        let mut connection = Connection::new(id, stream, VecDeque::new(), permit, now);
-        if !needed {
-            self.connections.push(connection);
-            return self.close_idle(self.connections.len() - 1, EndReason::Surplus);
-        }
-        self.last_connected = now;
-        self.liveness.record_connected(now);
-        let releases = self.waiting_releases.drain(..);
-        connection.queue.extend(releases.map(|(_, call, cause)| Outgoing::Release(call, cause)));
-        connection.queue.extend(self.waiting_set_ups.drain(..).map(Outgoing::SetUp));
-        self.connections.push(connection);
-        self.close_silent(now, self.target_connections().max(1));
-    }
-
-    /// Schedules the next dial, and judges by the error whether the hub is dead.
-    fn dial_failed(&mut self, error: &io::Error) {
-        let now = Instant::now();
-        // Messages that arrived during the dial are still unread and may show that the hub is alive.
-        self.read_all_connections();
-        metrics::HUB_DIAL_FAILURES.increment();
-        let (silent_ms, standing) =
-            (self.liveness.silence(now).as_millis() as u64, self.standing_calls.len());
-        let (open, waiting) = (self.open_connections(), self.waiting_set_ups.len());
-        tracing::debug!(link = self.id.0, %error, waiting, open, silent_ms, standing, "dial failed");
-        self.report_waiting_unreachable();
-        self.next_dial = Some(now + self.backoff);
-        self.backoff = (self.backoff * 2).min(MAX_DIAL_BACKOFF);
-        let open = self.open_connections() > 0;
-        if open {
-            self.probe_open_connections(now, error.kind());
-        }
-        // The calls of a process that died are over, and nothing else reports that. A refused connection
-        // proves that the process is gone; a machine that failed does not even refuse.
-        if self.liveness.dial_failed(now, error.kind(), open) && (open || !self.standing_calls.is_empty()) {
-            self.declare_dead(now, &error.to_string());
-        }
-    }
-
-    /// Treats the hub as dead and closes its connections. A hub that is only cut off still holds the set-ups on its
-    /// silent connections and may run them when it is reachable again. A set-up is therefore settled only when its
-    /// connection is closed, and it may have run.
-    fn declare_dead(&mut self, now: Instant, why: &str) {
-        metrics::HUBS_DEAD.increment();
-        let silent_ms = self.liveness.silence(now).as_millis() as u64;
-        let (open, standing) = (self.open_connections(), self.standing_calls.len());
-        tracing::info!(link = self.id.0, why, silent_ms, open, standing, "hub declared dead");
-        self.close_all();
-        self.standing_calls.clear();
-        self.liveness = Liveness::new(now);
-        self.events.push(FromHub::Dead);
-    }
-
     /// Declares the hub dead if it has standing calls and leaves probes unanswered.
     fn check_unresponsive(&mut self, now: Instant) {
         if self.standing_calls.is_empty() || !self.liveness.is_unresponsive(now) {
@@ -433,23 +309,6 @@
         }
     }
 
-    /// Closes all connections and settles all set-ups: those that have begun may have run, the others never did.
-    fn close_all(&mut self) {
-        let mut never_begun: Vec<SetUp> = self.waiting_set_ups.drain(..).collect();
-        for mut connection in std::mem::take(&mut self.connections) {
-            let open = connection.open_set_ups.len();
-            tracing::debug!(link = self.id.0, connection = connection.id, open, "connection closed");
-            let work = connection.take_work();
-            drop(connection);
-            self.report_broken(&work);
-            never_begun.extend(work.unwritten.into_iter().filter_map(|outgoing| match outgoing {
-                Outgoing::SetUp(set_up) => Some(set_up),
-                _ => None,
-            }));
-        }
-        self.events.extend(never_begun.into_iter().map(|s| FromHub::Unreachable(s.call, s.attempt)));
-    }
-
     /// Whether set-ups are unanswered and every connection that has any was silent for [`PENDING_ANSWER_TIMEOUT`].
     fn answers_overdue(&self, now: Instant) -> bool {
         let mut pending = self.connections.iter().filter(|c| !c.open_set_ups.is_empty()).peekable();
@@ -467,153 +326,11 @@
         self.standing_calls.values().any(|id| now - heard_at(id) >= CALL_CONNECTION_TIMEOUT)
     }
 
-    /// Checks that the hub is alive by dialling it, if necessary in place of a connection that is silent and idle. If
-    /// all connections are open and none is idle, each has a set-up that waits for an answer, which serves as the probe.
-    fn probe(&mut self, now: Instant) {
-        if self.open_connections() >= MAX_CONNECTIONS || self.connection_limit.is_exhausted() {
-            self.close_silent(now, 1);
-        }
-        if self.open_connections() >= MAX_CONNECTIONS {
-            self.liveness.record_probe(now);
-        }
-        self.start_dial();
-    }
-
-    /// Sends a test message on the open connections if a new one was refused or no file descriptor was left for it. A
-    /// draining hub may have closed its listener and keep its calls, but it answers tests. If the configuration forbids
-    /// tests, a hub in service that refuses connections and stays silent counts as probed all the same.
-    fn probe_open_connections(&mut self, now: Instant, error: io::ErrorKind) {
-        let refused = error == io::ErrorKind::ConnectionRefused;
-        let dial_unavailable = refused || error == connection_limit::DESCRIPTORS_EXHAUSTED;
-        if !dial_unavailable || !self.is_quiet_with_calls(now) || self.liveness.is_probe_pending() {
-            return;
-        }
-        if self.limits.may_probe {
-            self.open_connections_mut().for_each(|c| c.queue.push_back(Outgoing::Test));
-        }
-        if self.limits.may_probe || refused && self.set_up_cutoff.is_none() {
-            self.liveness.record_probe(now);
-        }
-    }
-
     /// Whether calls stand and nothing was received on any connection for [`QUIET_TIMEOUT`].
     fn is_quiet_with_calls(&self, now: Instant) -> bool {
         !self.standing_calls.is_empty() && self.liveness.silence(now) >= QUIET_TIMEOUT
     }
 
-    /// Closes the idle connection that has been silent for longest, if more than `keep` are open. Calls that stand do
-    /// not depend on the connection they were set up on.
-    fn close_silent(&mut self, now: Instant, keep: usize) {
-        if self.open_connections() <= keep {
-            return;
-        }
-        let silent = |c: &Connection| {
-            !c.lifecycle.is_half_closed() && c.is_idle() && now - c.last_heard >= QUIET_TIMEOUT
-        };
-        let candidates = self.connections.iter().enumerate().filter(|(_, c)| silent(c));
-        let longest_silent = candidates.min_by_key(|(_, c)| c.last_heard).map(|(index, _)| index);
-        let Some(index) = longest_silent else { return };
-        if let Err(reason) = self.read_available(index) {
-            self.connection_lost(index, reason);
-        } else if self.connections.get(index).is_some_and(silent) {
-            self.close_idle(index, EndReason::Silent);
-        }
-    }
-
-    /// Closes a connection that has no unanswered set-ups and nothing to write. It is closed for writing only, and read
-    /// until the hub closes it too, as the hub may still write to it. Where descriptors are short it is closed at once.
-    fn close_idle(&mut self, index: usize, reason: EndReason) {
-        let lingers = self.try_half_close(index);
-        let id = self.connections.get(index).map_or(0, |connection| connection.id);
-        if !lingers {
-            self.connections.remove(index);
-        }
-        let open = self.open_connections();
-        tracing::debug!(link = self.id.0, connection = id, ?reason, open, lingers, "connection closed");
-    }
-
-    /// Closes a connection with unanswered set-ups, which settles them, and reads it until the hub closes it too.
-    fn half_close(&mut self, index: usize, reason: EndReason) {
-        if !self.try_half_close(index) {
-            return self.connection_lost(index, reason);
-        }
-        let Some(connection) = self.connections.get_mut(index) else { return };
-        metrics::HUB_CONNECTIONS_LOST.increment();
-        tracing::debug!(
-            link = self.id.0,
-            connection = connection.id,
-            open = connection.open_set_ups.len(),
-            ?reason,
-            "connection half-closed"
-        );
-        let work = connection.take_work();
-        self.settle(work);
-    }
-
-    /// Closes a connection for writing, if it may be read any further; returns whether it is closed so.
-    fn try_half_close(&mut self, index: usize) -> bool {
-        let half_closed = self.connections.len() - self.open_connections();
-        if half_closed >= MAX_HALF_CLOSED_CONNECTIONS || self.connection_limit.is_exhausted() {
-            return false;
-        }
-        self.connections.get_mut(index).is_some_and(|connection| connection.half_close().is_ok())
-    }
-
-    /// Closes the half-closed connections if another link waits for a descriptor.
-    fn free_descriptors(&mut self) {
-        if self.connection_limit.has_waiters() {
-            self.read_all_connections();
-            self.connections.retain(|c| !c.lifecycle.is_half_closed());
-        }
-    }
-
-    /// Suspends or closes the connections that need it; see [`lifecycle`]. After an answer that was corrupted, cut short
-    /// or lost, a connection can stay open and deliver nothing more, neither for its other set-ups nor for its standing
-    /// calls. The hub repeats on the next connection what it could not deliver.
-    fn judge_connections(&mut self) {
-        let now = Instant::now();
-        let verdict =
-            |c: &Connection, link: &Link| c.verdict(now, link.latest_answered_start, &link.standing_calls);
-        while let Some(index) = self.connections.iter().position(|c| verdict(c, self).is_some()) {
-            // On a machine short of CPU time, the deadline may pass while the answer is already in the socket's
-            // buffer, as another connection is read first. So the connection is read once more before it is judged.
-            let ended = self.read_available(index).err().map(Verdict::End);
-            match ended.or_else(|| self.connections.get(index).and_then(|c| verdict(c, self))) {
-                Some(Verdict::Suspend(reason)) => self.suspend(index, reason),
-                Some(Verdict::HalfClose(reason)) => self.half_close(index, reason),
-                Some(Verdict::End(reason)) => self.connection_lost(index, reason),
-                None => {}
-            }
-        }
-    }
-
-    /// Takes a connection out of service and gives its set-ups up. If the give-ups cannot be written at once, only
-    /// closing the connection settles the set-ups.
-    fn suspend(&mut self, index: usize, reason: EndReason) {
-        let now = self.clock.now();
-        let Some(connection) = self.connections.get_mut(index) else { return };
-        metrics::HUB_CONNECTIONS_SUSPENDED.increment();
-        tracing::debug!(
-            link = self.id.0,
-            connection = connection.id,
-            open = connection.open_set_ups.len(),
-            standing = self.standing_calls.len(),
-            ?reason,
-            "connection suspended"
-        );
-        connection.lifecycle.suspend(Instant::now(), reason);
-        let withdrawn = connection.withdraw_queued_set_ups();
-        connection.abandon_open_set_ups();
-        let written = connection.write(now, self.set_up_cutoff, &mut self.events);
-        if written.is_err() || connection.has_unsent_output() {
-            self.half_close(index, reason);
-        }
-        self.redial();
-        for set_up in withdrawn {
-            self.handle_command(ToHub::SetUp(set_up));
-        }
-    }
-
     /// Reports the waiting set-ups as unreachable if every connection is suspended, none was until [`MESSAGE_TIMEOUT`]
     /// ago, and no further one may be opened.
     fn settle_unserved_set_ups(&mut self) {
@@ -796,76 +513,6 @@
                 || self.connections.iter().any(has_later_attempt))
     }
 
-    /// Removes a connection that has ended. Only the set-ups that had begun on it are broken; the others are queued again.
-    fn connection_lost(&mut self, index: usize, reason: EndReason) {
-        let mut connection = self.connections.remove(index);
-        if connection.lifecycle.is_half_closed() {
-            self.report_discarded_input(&connection);
-            tracing::debug!(
-                link = self.id.0,
-                connection = connection.id,
-                ?reason,
-                "half-closed connection ended"
-            );
-            return;
-        }
-        metrics::HUB_CONNECTIONS_LOST.increment();
-        self.report_discarded_input(&connection);
-        tracing::debug!(
-            link = self.id.0,
-            connection = connection.id,
-            open = connection.open_set_ups.len(),
-            standing = self.standing_calls.len(),
-            ?reason,
-            "connection lost"
-        );
-        // Counted so that a hub that resets each connection it accepts is not dialled in a tight loop.
-        self.resets_in_a_row += u32::from(connection.last_heard == connection.opened_at);
-        let work = connection.take_work();
-        drop(connection);
-        self.settle(work);
-    }
-
-    /// Reports the set-ups that had begun on a connection that is closed now as broken, dials another connection, and
-    /// queues there what had not been written.
-    fn settle(&mut self, work: ConnectionWork) {
-        self.report_broken(&work);
-        self.redial();
-        for outgoing in work.unwritten {
-            match outgoing {
-                Outgoing::SetUp(set_up) => self.handle_command(ToHub::SetUp(set_up)),
-                Outgoing::Release(call, cause) => self.handle_command(ToHub::Release(call, cause)),
-                // The set-up of a give-up was broken with this connection.
-                Outgoing::GiveUp(..) | Outgoing::Abandon(..) | Outgoing::ReleaseAck(_) | Outgoing::Test => {}
-            }
-        }
-    }
-
-    fn report_broken(&mut self, work: &ConnectionWork) {
-        let broken = work.begun.iter().map(|(call, set_up)| FromHub::ConnectionLost(*call, set_up.attempt));
-        self.events.extend(broken);
-    }
-
-    /// Counts and logs the incomplete message that ends with a connection.
-    fn report_discarded_input(&self, connection: &Connection) {
-        let input = connection.input.unconsumed();
-        if input.is_empty() {
-            return;
-        }
-        metrics::HUB_MESSAGES_DISCARDED.increment();
-        let incomplete_ms =
-            connection.lifecycle.partial_since().map_or(0, |since| since.elapsed().as_millis() as u64);
-        let kind = binary::kind_of(input);
-        tracing::debug!(
-            link = self.id.0,
-            connection = connection.id,
-            ?kind,
-            bytes = input.len(),
-            incomplete_ms,
-            "incomplete message discarded"
-        );
-    }
-
     /// Writes what each connection has queued, as far as the sockets take it.
     fn write_connections(&mut self) {
         let now = self.clock.now();
