Don't send a call again on a slow connection that still owes its earlier answer

What callers would have seen: an answer of an earlier attempt, which the hub cuts. A connection that was suspended and is back in service may deliver the answer to a set-up that was given up on it after the call's next attempt has begun there, and messages name calls, not attempts.

Evidence: hub_messages_in_pieces.rs, a_late_answer_on_a_connection_that_is_back_in_service_is_not_matched_to_the_next_attempt. On the commit before, the caller's answer has the description of the attempt that was given up.

Change: a connection remembers for 8 s, 1,024 at most, whose set-ups were given up on it, and while it was suspended within 8 s it takes no set-up of these calls. Another connection does, or the set-up is unreachable where four are open: it never ran.

Ruled out: keeping a suspended connection out of service for good. With four of them a hub that merely pauses would take no calls.

Result: all of hub_messages_in_pieces (5), hub_link (22) and the library (54) pass.

--- a/src/net/hub.rs
+++ b/src/net/hub.rs
@@ -79,7 +79,7 @@
     clock: Clock,
     connections: Vec<Connection>,
     dials: JoinSet<io::Result<(TcpStream, ConnectionPermit)>>,
-    /// Set-ups received while no connection is in service.
+    /// Set-ups that no connection takes, until another one is opened or back in service.
     waiting_set_ups: VecDeque<SetUp>,
     /// Releases received while no connection is open, with the time of their arrival, the oldest first.
     waiting_releases: VecDeque<(Instant, CallName, Cause)>,
@@ -213,8 +213,8 @@
         match command {
             // The least loaded connection, so that one that has stopped answering collects no further set-ups.
             ToHub::SetUp(set_up) => {
-                let in_service = self.connections.iter_mut().filter(|c| c.lifecycle.is_in_service());
-                match in_service.min_by_key(|c| c.load()) {
+                let suitable = self.connections.iter_mut().filter(|c| c.takes_set_up(set_up.call));
+                match suitable.min_by_key(|c| c.load()) {
                     Some(connection) => connection.queue.push_back(Outgoing::SetUp(set_up)),
                     None => {
                         self.waiting_set_ups.push_back(set_up);
@@ -331,8 +331,8 @@
         !self.standing_calls.is_empty() && self.liveness.silence(now) >= QUIET_TIMEOUT
     }
 
-    /// Reports the waiting set-ups as unreachable if every connection is suspended, none was until [`MESSAGE_TIMEOUT`]
-    /// ago, and no further one may be opened.
+    /// Reports the waiting set-ups as unreachable if no connection takes them and no further one may be opened. If every
+    /// connection is suspended, this waits until [`MESSAGE_TIMEOUT`] after the last one was.
     fn settle_unserved_set_ups(&mut self) {
         if self.waiting_set_ups.is_empty() || self.open_connections() < MAX_CONNECTIONS {
             return;
@@ -340,7 +340,7 @@
         let open = self.connections.iter().filter(|c| !c.lifecycle.is_half_closed());
         let suspended: Option<Vec<Instant>> = open.map(|c| c.lifecycle.suspended_since()).collect();
         let latest = suspended.and_then(|since| since.into_iter().max());
-        if latest.is_some_and(|since| since.elapsed() >= MESSAGE_TIMEOUT) {
+        if latest.is_none_or(|since| since.elapsed() >= MESSAGE_TIMEOUT) {
             self.report_waiting_unreachable();
         }
     }
@@ -458,7 +458,9 @@
         connection.input = input;
         if connection.lifecycle.record_input(connection.last_heard, whole, incomplete) {
             tracing::debug!(link = self.id.0, connection = connection.id, "connection back in service");
-            connection.queue.extend(self.waiting_set_ups.drain(..).map(Outgoing::SetUp));
+            for set_up in std::mem::take(&mut self.waiting_set_ups) {
+                self.handle_command(ToHub::SetUp(set_up));
+            }
         }
         !malformed
     }
--- a/src/net/hub/connection.rs
+++ b/src/net/hub/connection.rs
@@ -3,7 +3,7 @@
 //! A set-up can be withdrawn until its first byte is written. Messages that the socket does not take are therefore
 //! moved back from the output buffer to the queue.
 
-use super::lifecycle::{Lifecycle, Observed, Verdict};
+use super::lifecycle::{Lifecycle, Observed, Verdict, RELEASE_TIMEOUT};
 use crate::core::{CallName, Cause, FromHub, SetUp};
 use crate::interface::Micros;
 use crate::net::binary::{self, code, kind};
@@ -22,6 +22,8 @@
 /// the set-up began. The core gives up set-ups that it sees overtaken; without this rule, the connection would then
 /// look as if no answer were due on it.
 const SUSPECT_TIMEOUT: Duration = Duration::from_millis(100);
+/// Maximum number of calls remembered as given up on a connection.
+const MAX_GIVEN_UP_CALLS: usize = 1024;
 /// Call id of a test message, which concerns no call.
 const NO_CALL: u64 = 0;
 /// Size of the output buffer at which no further messages are encoded. Messages still queued can be withdrawn.
@@ -68,6 +70,8 @@
     pub(super) queue: VecDeque<Outgoing>,
     /// Set-ups that began on this connection and are not answered.
     pub(super) open_set_ups: HashMap<CallName, OpenSetUp>,
+    /// Calls whose set-ups were given up here within [`RELEASE_TIMEOUT`], and when, the oldest first.
+    given_up: VecDeque<(Instant, CallName)>,
     pub(super) opened_at: Instant,
     pub(super) last_heard: Instant,
     pub(super) lifecycle: Lifecycle,
@@ -93,6 +97,7 @@
             written_of_first: 0,
             queue,
             open_set_ups: HashMap::new(),
+            given_up: VecDeque::new(),
             opened_at: now,
             last_heard: now,
             lifecycle: Lifecycle::new(),
@@ -111,6 +116,25 @@
         Ok(())
     }
 
+    /// Whether a set-up of this call may be sent here. Messages name calls, not attempts: on a connection that delivers
+    /// late, the answer to an attempt that was given up would be taken for the answer to the next one.
+    pub(super) fn takes_set_up(&self, call: CallName) -> bool {
+        let may_be_confused = || {
+            self.lifecycle.may_deliver_late(Instant::now()) && self.given_up.iter().any(|(_, c)| *c == call)
+        };
+        self.lifecycle.is_in_service() && !may_be_confused()
+    }
+
+    /// Remembers that a set-up of this call was given up here.
+    fn record_given_up(&mut self, call: CallName) {
+        let now = Instant::now();
+        let is_old = |(at, _): &(Instant, CallName)| now - *at >= RELEASE_TIMEOUT;
+        while self.given_up.len() >= MAX_GIVEN_UP_CALLS || self.given_up.front().is_some_and(is_old) {
+            self.given_up.pop_front();
+        }
+        self.given_up.push_back((now, call));
+    }
+
     /// Sort key for choosing a connection for a set-up: the number of open set-ups and queued messages. A suspect
     /// connection sorts after all others.
     pub(super) fn load(&self) -> (bool, usize) {
@@ -287,11 +311,13 @@
                     if let Some(started) = started.filter(late) {
                         self.lifecycle.record_late_give_up(started);
                     }
+                    self.record_given_up(call);
                     tracing::debug!(%call, attempt, connection = self.id, "give-up written");
                     events.push(FromHub::GivenUp { attempt, call, began: true });
                 }
                 Some((_, Outgoing::Abandon(call, attempt))) => {
                     self.open_set_ups.remove(&call);
+                    self.record_given_up(call);
                     tracing::debug!(%call, attempt, connection = self.id, "set-up abandoned");
                     events.push(FromHub::ConnectionLost(call, attempt));
                 }
--- a/src/net/hub/lifecycle.rs
+++ b/src/net/hub/lifecycle.rs
@@ -20,7 +20,7 @@
 /// takes set-ups in order, and jitter is far smaller than this.
 const OVERTAKEN_ANSWER_TIMEOUT: Duration = Duration::from_millis(120);
 /// Time within which a call that is over must be released. A suspended connection is read for this long.
-const RELEASE_TIMEOUT: Duration = Duration::from_secs(8);
+pub(super) const RELEASE_TIMEOUT: Duration = Duration::from_secs(8);
 
 /// Maximum number of bytes that are read on a half-closed connection.
 const MAX_LINGER_BYTES: usize = 256 * 1024;
@@ -83,6 +83,7 @@
 /// The phase of one connection, and what was observed on it.
 pub(super) struct Lifecycle {
     phase: Phase,
+    last_suspended: Option<Instant>,
     /// Since when the message at the front of the input is incomplete.
     partial_since: Option<Instant>,
     /// Start of a set-up that was given up late, if no message was handled since.
@@ -92,7 +93,7 @@
 impl Lifecycle {
     /// The lifecycle of a connection that was just opened.
     pub(super) fn new() -> Lifecycle {
-        Lifecycle { phase: Phase::InService, partial_since: None, suspect_since: None }
+        Lifecycle { phase: Phase::InService, last_suspended: None, partial_since: None, suspect_since: None }
     }
 
     /// Whether the connection takes set-ups.
@@ -113,6 +114,11 @@
         }
     }
 
+    /// Whether what the hub wrote before `now` may arrive late, as the connection was suspended not long ago.
+    pub(super) fn may_deliver_late(&self, now: Instant) -> bool {
+        self.last_suspended.is_some_and(|since| now - since < RELEASE_TIMEOUT)
+    }
+
     /// Since when a message is incomplete, if one is.
     pub(super) fn partial_since(&self) -> Option<Instant> {
         self.partial_since
@@ -160,6 +166,7 @@
     /// Takes the connection, whose set-ups are given up, out of service.
     pub(super) fn suspend(&mut self, now: Instant, reason: EndReason) {
         self.phase = Phase::Suspended(now, reason);
+        self.last_suspended = Some(now);
         self.suspect_since = None;
     }
 
--- a/tests/hub_messages_in_pieces.rs
+++ b/tests/hub_messages_in_pieces.rs
@@ -202,3 +202,30 @@
     hub.answer(&set_up);
     assert_eq!(answer_status(&mut caller, set_up.call), 200);
 }
+
+// Guards against an answer to an attempt that was given up, on a connection that was slow and is in service again, taken
+// for the answer to the call's next attempt.
+#[test]
+fn a_late_answer_on_a_connection_that_is_back_in_service_is_not_matched_to_the_next_attempt() {
+    let mut hub = ScriptedHub::new();
+    let (program, mut caller) = start(&mut hub);
+    let call = 0xb0;
+    caller.invite(call, 100_000, 0);
+    let first = hub.wait_for_set_up(call, 1);
+    let state = state();
+    let (beginning, rest) = halves(&state);
+    hub.try_send_bytes(first.connection, beginning);
+    hub.wait_for_release(call);
+    hub.try_send_bytes(first.connection, rest);
+    wait_until("the connection is back in service", || {
+        program.log_contains("connection back in service").then_some(())
+    });
+    let second = hub.wait_for_set_up(call, 2);
+    let late = encode(kind::ANSWER, call, &[(code::DESCRIPTION, b"given up")]);
+    hub.try_send_bytes(first.connection, &late);
+    // On another connection, so that the late answer is read first.
+    std::thread::sleep(Duration::from_millis(100));
+    hub.answer(&second);
+    let (status, _, body) = caller.answer(call).expect("an answer");
+    assert_eq!((status, body), (200, HUB_BODY.to_vec()));
+}
