Don't wait for a call's release on a half-closed connection that still has traffic

What would have been seen: a release that was lost is repeated on the next connection, which the link opens once the call's own connection has been silent for 4 s. A half-closed one, on which a hub goes on writing its state, counted as heard, so the next connection came up after 8 s and not after 4.

Evidence: hub_link.rs, a_half_closed_connection_with_traffic_does_not_delay_the_next_connection: 'no connection in time for a release' on the commit before.

Change: a half-closed connection counts as gone for the calls that were set up on it, as a closed one did.

--- a/src/net/hub.rs
+++ b/src/net/hub.rs
@@ -319,7 +319,8 @@
     /// hub goes on sending there the messages of the calls that were set up on it.
     fn has_call_on_silent_connection(&self, now: Instant) -> bool {
         let heard_at = |id: &u64| {
-            let connection = self.connections.iter().find(|connection| connection.id == *id);
+            let is_open = |c: &&Connection| c.id == *id && !c.lifecycle.is_half_closed();
+            let connection = self.connections.iter().find(is_open);
             connection
                 .map_or(self.last_connected, |connection| connection.last_heard.max(self.last_connected))
         };
--- a/tests/hub_link.rs
+++ b/tests/hub_link.rs
@@ -717,3 +717,23 @@
     let event = link.next_event().await;
     assert!(matches!(event, FromHub::Released(CallName(1), Cause(16), ..)), "{event:?}");
 }
+
+// Guards against a connection that is half-closed, and on which the hub goes on writing, taken for one that can deliver
+// the release of its call.
+#[tokio::test]
+async fn a_half_closed_connection_with_traffic_does_not_delay_the_next_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let mut link = ConnectedLink::dialling(&listener).await;
+    let (silent, active) = calls_on_separate_connections(&mut link).await;
+    let (_probe, _) = timeout(TEST_TIMEOUT, listener.accept()).await.expect("dialled").expect("accepted");
+    link.wait_closed(silent).await;
+    let half_closed = std::time::Instant::now();
+    let state = message(binary::kind::STATE, 0, None);
+    // The hub repeats on the next connection the release that was lost.
+    while timeout(Duration::from_millis(200), listener.accept()).await.is_err() {
+        assert!(half_closed.elapsed() < Duration::from_secs(7), "no connection in time for a release");
+        for connection in [silent, active] {
+            link.hub[connection].write_all(&state).await.expect("open");
+        }
+    }
+}
