--- a/review/standins-2/src/caller.rs
+++ b/review/standins-2/src/caller.rs
@@ -36,6 +36,7 @@
     pub name: String,
     pub stream: TcpStream,
     ended: Arc<AtomicBool>,
+    silent: Arc<AtomicBool>,
     callers: Callers,
 }
 
@@ -74,12 +75,13 @@
         let reading = stream.try_clone()?;
         let (callers, reader_name) = (self.clone(), name.to_string());
         let ended = Arc::new(AtomicBool::new(false));
-        let has_ended = ended.clone();
+        let silent = Arc::new(AtomicBool::new(false));
+        let (has_ended, is_silent) = (ended.clone(), silent.clone());
         let read = move || {
-            callers.read(&reader_name, reading);
+            callers.read(&reader_name, reading, &is_silent);
             has_ended.store(true, Ordering::Relaxed);
         };
-        let connection = Connection { name: name.into(), stream, ended, callers: self.clone() };
+        let connection = Connection { name: name.into(), stream, ended, silent, callers: self.clone() };
         thread::Builder::new().stack_size(128 * 1024).spawn(read).map(|_| connection)
     }
 
@@ -91,12 +93,13 @@
         self.record.line(text);
     }
 
-    fn read(&self, name: &str, mut stream: TcpStream) {
+    fn read(&self, name: &str, mut stream: TcpStream, silent: &AtomicBool) {
         let (mut input, mut bytes) = (Vec::new(), vec![0; 16384]);
         let mut on_this: Vec<u64> = Vec::new();
         loop {
             match stream.read(&mut bytes) {
                 Ok(0) | Err(_) => break,
+                Ok(_) if silent.load(Ordering::Relaxed) => continue,
                 Ok(count) => input.extend_from_slice(&bytes[..count]),
             }
             while let Some(end) = input.windows(4).position(|w| w == b"\r\n\r\n") {
@@ -166,6 +169,12 @@
         sent
     }
 
+    /// The path to the session controller is cut: the connection stays open, and nothing more is heard or sent on it.
+    pub fn fall_silent(&self) {
+        self.silent.store(true, Ordering::Relaxed);
+        self.callers.line(&format!("{}: the connection falls silent", self.name));
+    }
+
     /// Whether the session controller has closed it.
     pub fn has_ended(&self) -> bool {
         self.ended.load(Ordering::Relaxed)
--- a/review/standins-2/src/hub.rs
+++ b/review/standins-2/src/hub.rs
@@ -61,6 +61,8 @@
     pub release_written_at: Option<Instant>,
     /// What is still to be sent on the next connection that is opened.
     pub pending_release: Option<u8>,
+    /// Length of the number called.
+    pub number_length: usize,
 }
 
 /// How the hub behaves.
@@ -72,12 +74,10 @@
     pub lines: usize,
     /// Set-ups a second that it says it can take.
     pub can_take: f64,
+    /// A set-up to a longer number is answered 'error': it is of no use.
+    pub longest_number: usize,
     /// Length of the descriptions that it answers with.
     pub description_bytes: usize,
-    /// Set-ups are heard and not answered.
-    pub hangs: bool,
-    /// Set-ups refused past this many unanswered ones.
-    pub max_waiting: usize,
 }
 
 impl Default for Behaviour {
@@ -87,9 +87,8 @@
             call_length: Duration::from_secs(8),
             lines: 500,
             can_take: 40.0,
+            longest_number: usize::MAX,
             description_bytes: 60,
-            hangs: false,
-            max_waiting: usize::MAX,
         }
     }
 }
@@ -351,7 +350,6 @@
         }
         match kind {
             SET_UP => {
-                let waiting = state.calls.values().filter(|c| c.phase == Phase::SetUp).count();
                 let number_text = text(108);
                 let shown: String = number_text.chars().take(24).collect();
                 self.record.line(&format!(
@@ -361,14 +359,6 @@
                     number_text.len(),
                     text(102)
                 ));
-                if waiting >= state.behaviour.max_waiting {
-                    let report = state.full_report();
-                    state.send(
-                        number,
-                        &message(RELEASE, id, &[(128, &[34]), (114, b"throttled"), (118, report.as_bytes())]),
-                    );
-                    return;
-                }
                 state.calls.insert(
                     id,
                     Call {
@@ -378,6 +368,7 @@
                         ended_at: None,
                         release_written_at: None,
                         pending_release: None,
+                        number_length: number_text.len(),
                     },
                 );
             }
@@ -418,14 +409,19 @@
             .calls
             .iter()
             .filter(|(_, c)| match c.phase {
-                Phase::SetUp => !behaviour.hangs && now >= c.set_up_at + behaviour.answer_after,
+                Phase::SetUp => now >= c.set_up_at + behaviour.answer_after,
                 Phase::Standing => now >= c.set_up_at + behaviour.call_length,
                 _ => false,
             })
             .map(|(id, c)| (*id, c.phase, c.connection))
             .collect();
         for (id, phase, connection) in due {
-            if phase == Phase::SetUp {
+            if phase == Phase::SetUp && state.calls[&id].number_length > behaviour.longest_number {
+                let report = state.full_report();
+                state.send(connection, &message(RELEASE, id, &[(128, &[47]), (118, report.as_bytes())]));
+                self.record.line(&format!("{}: error to {id:016x}", self.name));
+                state.calls.remove(&id);
+            } else if phase == Phase::SetUp {
                 let description = description(&self.name, id, behaviour.description_bytes);
                 let report = state.full_report();
                 let answer = message(ANSWER, id, &[(130, &description), (118, report.as_bytes())]);
