--- a/review/standins-2/src/cases/drain_restart.rs
+++ b/review/standins-2/src/cases/drain_restart.rs
@@ -6,21 +6,23 @@
 use crate::record::Record;
 use std::path::Path;
 use std::thread::sleep;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// A call that is over must be released within this time of the release that its hub sent.
 const AFTER_RELEASE: Duration = Duration::from_millis(1_050);
 /// The same, counted from its end, if no release could be sent.
 const AFTER_END: Duration = Duration::from_millis(8_050);
 const CALLS: usize = 4;
+/// How long a draining hub goes on before it stops.
+const DRAIN: Duration = Duration::from_secs(9);
 
 pub fn run(trouble: bool, folder: &Path, record: &Record) -> Vec<String> {
     let hub = |name: &str, seconds: u64| {
         let behaviour = Behaviour { call_length: Duration::from_secs(seconds), ..Behaviour::default() };
         Hub::start(name, behaviour, record)
     };
-    // Calls at the first hub end well before it would stop; one at the second keeps the caller's connection in use.
-    let hubs = [hub("hub-0", 14), hub("hub-1", 60)];
+    // The calls at the first hub end before it stops; one at the second keeps the caller's connection in use.
+    let hubs = [hub("hub-0", 8), hub("hub-1", 60)];
     let target = |i: usize, state| Target {
         uid: format!("s-{i}"),
         address: hubs[i].address,
@@ -59,6 +61,7 @@
         crate::cannot_run("no call stands at hub-0");
     }
     let state = if trouble { "terminating" } else { "in_service" };
+    let stops_at = Instant::now() + DRAIN;
     if trouble {
         change_log.add(false, &[target(0, state)]);
     }
@@ -75,9 +78,15 @@
     if callers.seen(other).status() != Some(200) {
         crate::cannot_run("the call at hub-1 does not stand after the restart");
     }
-    let waited = std::time::Instant::now();
+    let waited = Instant::now();
+    let mut has_stopped = !trouble;
     loop {
         sleep(Duration::from_millis(100));
+        if !has_stopped && Instant::now() >= stops_at {
+            has_stopped = true;
+            hubs[0].stop();
+            change_log.add(false, &[target(0, "terminated")]);
+        }
         let ended = standing.iter().filter_map(|id| hubs[0].call(*id)?.ended_at);
         let (count, latest) = (ended.clone().count(), ended.max());
         let over = latest.is_some_and(|at| at.elapsed() >= AFTER_END + Duration::from_millis(500));
--- a/review/standins-2/src/cases/long_numbers.rs
+++ b/review/standins-2/src/cases/long_numbers.rs
@@ -21,7 +21,7 @@
     // A set-up is answered only after a while, as at a busy processor.
     let behaviour = Behaviour {
         answer_after: Duration::from_millis(600),
-        longest_number: 64,
+        known_number: Some("7f3a9c21e0b4d655"),
         lines: 2_000,
         ..Behaviour::default()
     };
--- a/review/standins-2/src/cases/turned_away.rs
+++ b/review/standins-2/src/cases/turned_away.rs
@@ -17,44 +17,48 @@
 const CLIENTS: u64 = 4;
 /// Requests that a client sends at once.
 const AT_ONCE: usize = 400;
-/// A client sends no faster than this, so that the case does not depend on the machine: 5,000 requests a second.
-const PAUSE: Duration = Duration::from_millis(80);
+/// A client sends no faster than one request in this time, so that the case does not depend on the machine.
+const PAUSE: Duration = Duration::from_micros(200);
 const LENGTH: Duration = Duration::from_secs(50);
-/// Lines of a hub; all are in use by calls of usual clients.
-const LINES: usize = 4;
+/// The number that usual clients call; the bad ones call numbers that no hub knows.
+const KNOWN: &str = "7f3a9c21e0b4d655";
 
-/// One client: sends, reads an answer to each request, and sends again. Returns once the connection ends.
+/// One client: sends, and sends another request for each that was turned away. Returns once the connection ends.
 fn client(address: std::net::SocketAddr, over: &AtomicBool, answers: &AtomicU64) -> Option<()> {
     let mut stream = TcpStream::connect(address).ok()?;
     stream.set_read_timeout(Some(Duration::from_secs(5))).ok()?;
-    let (mut buffer, mut id) = (vec![0; 65536], new_id());
+    let (mut buffer, mut tail, mut id) = (vec![0; 65536], Vec::new(), new_id());
+    let (begun, mut sent, mut due) = (Instant::now(), 0, AT_ONCE);
     while !over.load(Ordering::Relaxed) {
-        let (begun, mut bytes) = (Instant::now(), Vec::new());
-        for i in 0..AT_ONCE {
-            id = id.wrapping_add(1);
+        let mut bytes = Vec::new();
+        for _ in 0..std::mem::take(&mut due) {
+            (id, sent) = (id.wrapping_add(1), sent + 1);
             let request = format!(
                 "INVITE sip:{id:016x}@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: {id:016x}\r\nCSeq: 1 INVITE\r\nCall-Kind: seat-lookup\r\nAnswer-Within: 60000\r\nRouting-Data: dest:{};width:1;via:-1\r\nContent-Length: 0\r\n\r\n",
-                i % 2
+                id % 2
             );
             bytes.extend_from_slice(request.as_bytes());
         }
         stream.write_all(&bytes).ok()?;
-        let (mut open, mut tail) = (AT_ONCE, Vec::new());
-        while open > 0 {
-            let count = stream.read(&mut buffer).ok().filter(|count| *count > 0)?;
-            tail.extend_from_slice(&buffer[..count]);
-            let found = tail.windows(8).filter(|w| *w == b"SIP/2.0 ").count();
-            tail.drain(..tail.len().saturating_sub(7));
-            open = open.saturating_sub(found);
-            answers.fetch_add(found as u64, Ordering::Relaxed);
-        }
-        sleep(PAUSE.saturating_sub(begun.elapsed()));
+        let count = stream.read(&mut buffer).ok().filter(|count| *count > 0)?;
+        tail.extend_from_slice(&buffer[..count]);
+        due = tail.windows(8).filter(|w| *w == b"SIP/2.0 ").count();
+        tail.drain(..tail.len().saturating_sub(7));
+        answers.fetch_add(due as u64, Ordering::Relaxed);
+        sleep((begun + PAUSE * sent).saturating_duration_since(Instant::now()));
     }
     Some(())
 }
 
 pub fn run(trouble: bool, folder: &Path, record: &Record) -> Vec<String> {
-    let behaviour = Behaviour { lines: LINES, call_length: Duration::from_secs(100), ..Behaviour::default() };
+    // A processor of one line that carries 25 set-ups a second.
+    let behaviour = Behaviour {
+        answer_after: Duration::from_millis(40),
+        longest_wait: Some(Duration::from_millis(2_500)),
+        known_number: Some(KNOWN),
+        can_take: 25.0,
+        ..Behaviour::default()
+    };
     let hubs = ["hub-0", "hub-1"].map(|name| Hub::start(name, behaviour.clone(), record));
     let target = |i: usize| Target {
         uid: format!("s-{i}"),
@@ -74,22 +78,16 @@
     let place = |usual: &mut crate::caller::Connection, i: usize| {
         let id = new_id();
         let routing = ["dest:0;width:1;via:-1", "dest:1;width:1;via:-1"][i % 2];
-        usual.send(&SetUp {
-            id,
-            class: "result-post",
-            number: "7f3a9c21e0b4d655",
-            answer_within: "3000",
-            routing,
-        });
+        usual.send(&SetUp { id, class: "result-post", number: KNOWN, answer_within: "3000", routing });
         id
     };
-    for i in 0..3 * LINES {
+    for i in 0..8 {
         calls.push(place(&mut usual, i));
-        sleep(Duration::from_millis(400));
+        sleep(Duration::from_millis(200));
     }
     let standing = calls.iter().filter(|id| callers.seen(**id).status() == Some(200)).count();
-    record.line(&format!("usual client: {standing} calls stand, on {LINES} lines of each hub"));
-    if standing < LINES {
+    record.line(&format!("usual client: {standing} calls of 8 stand"));
+    if standing < 4 {
         crate::cannot_run("the usual client's calls do not stand");
     }
     let (over, answers) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
@@ -126,6 +124,9 @@
         }
     }
     over.store(true, Ordering::Relaxed);
+    for hub in &hubs {
+        record.line(&format!("{}: {} set-ups to numbers that it does not know", hub.name, hub.unknown()));
+    }
     record.line(&format!("the session controller held {most} KiB of its own at most"));
     for client in clients {
         let _ = client.join();
--- a/review/standins-2/src/hub.rs
+++ b/review/standins-2/src/hub.rs
@@ -61,8 +61,9 @@
     pub release_written_at: Option<Instant>,
     /// What is still to be sent on the next connection that is opened.
     pub pending_release: Option<u8>,
-    /// Length of the number called.
-    pub number_length: usize,
+    /// When its turn has come.
+    pub due_at: Instant,
+    pub is_known: bool,
 }
 
 /// How the hub behaves.
@@ -74,8 +75,10 @@
     pub lines: usize,
     /// Set-ups a second that it says it can take.
     pub can_take: f64,
-    /// A set-up to a longer number is answered 'error': it is of no use.
-    pub longest_number: usize,
+    /// The processor has one line: a set-up takes `answer_after` of it, and past this wait it is turned away.
+    pub longest_wait: Option<Duration>,
+    /// A set-up to any other number is answered 'error' once its turn has come.
+    pub known_number: Option<&'static str>,
     /// Length of the descriptions that it answers with.
     pub description_bytes: usize,
 }
@@ -87,7 +90,8 @@
             call_length: Duration::from_secs(8),
             lines: 500,
             can_take: 40.0,
-            longest_number: usize::MAX,
+            longest_wait: None,
+            known_number: None,
             description_bytes: 60,
         }
     }
@@ -102,6 +106,10 @@
     pub is_silent: bool,
     /// The lines in use when the state of the group was last sent, and when.
     told: Option<(usize, Instant)>,
+    /// Set-ups to numbers that it does not know.
+    unknown: u64,
+    /// Until when the processor works on the set-ups that wait.
+    busy_until: Option<Instant>,
     pub calls: BTreeMap<u64, Call>,
     pub behaviour: Behaviour,
     pub is_down: bool,
@@ -267,6 +275,15 @@
         }
     }
 
+    /// The process stops: its calls are cut, its connections are reset and new ones are refused.
+    pub fn stop(&self) {
+        let mut state = self.state.lock().unwrap();
+        state.is_down = true;
+        self.cut_calls(&mut state);
+        self.reset_connections(&mut state);
+        self.record.line(&format!("{}: the process has stopped", self.name));
+    }
+
     /// A new process serves at the same address and knows no call.
     pub fn come_back(&self) {
         let mut state = self.state.lock().unwrap();
@@ -351,14 +368,31 @@
         match kind {
             SET_UP => {
                 let number_text = text(108);
-                let shown: String = number_text.chars().take(24).collect();
-                self.record.line(&format!(
-                    "{}: set-up {id:016x} on connection {number}, class {}, number {shown} ({} characters), wait {}",
-                    self.name,
-                    text(100),
-                    number_text.len(),
-                    text(102)
-                ));
+                let (now, behaviour) = (Instant::now(), state.behaviour.clone());
+                let is_known = behaviour.known_number.is_none_or(|known| known == number_text);
+                if is_known {
+                    self.record.line(&format!(
+                        "{}: set-up {id:016x} on connection {number}, class {}, number {number_text}, wait {}",
+                        self.name,
+                        text(100),
+                        text(102)
+                    ));
+                } else {
+                    state.unknown += 1;
+                }
+                let mut due_at = now + behaviour.answer_after;
+                if let Some(longest) = behaviour.longest_wait {
+                    let free_at = state.busy_until.map_or(now, |at| at.max(now));
+                    if free_at - now > longest {
+                        let report = state.full_report();
+                        let parameters: [(u8, &[u8]); 3] =
+                            [(128, &[34]), (114, b"throttled"), (118, report.as_bytes())];
+                        state.send(number, &message(RELEASE, id, &parameters));
+                        return;
+                    }
+                    due_at = free_at + behaviour.answer_after;
+                    state.busy_until = Some(due_at);
+                }
                 state.calls.insert(
                     id,
                     Call {
@@ -368,7 +402,8 @@
                         ended_at: None,
                         release_written_at: None,
                         pending_release: None,
-                        number_length: number_text.len(),
+                        due_at,
+                        is_known,
                     },
                 );
             }
@@ -409,17 +444,16 @@
             .calls
             .iter()
             .filter(|(_, c)| match c.phase {
-                Phase::SetUp => now >= c.set_up_at + behaviour.answer_after,
+                Phase::SetUp => now >= c.due_at,
                 Phase::Standing => now >= c.set_up_at + behaviour.call_length,
                 _ => false,
             })
             .map(|(id, c)| (*id, c.phase, c.connection))
             .collect();
         for (id, phase, connection) in due {
-            if phase == Phase::SetUp && state.calls[&id].number_length > behaviour.longest_number {
+            if phase == Phase::SetUp && !state.calls[&id].is_known {
                 let report = state.full_report();
                 state.send(connection, &message(RELEASE, id, &[(128, &[47]), (118, report.as_bytes())]));
-                self.record.line(&format!("{}: error to {id:016x}", self.name));
                 state.calls.remove(&id);
             } else if phase == Phase::SetUp {
                 let description = description(&self.name, id, behaviour.description_bytes);
@@ -479,6 +513,10 @@
         self.state.lock().unwrap().calls.get(&id).cloned()
     }
 
+    pub fn unknown(&self) -> u64 {
+        self.state.lock().unwrap().unknown
+    }
+
     pub fn open_connections(&self) -> usize {
         self.state.lock().unwrap().connections.len()
     }
