--- a/review/standins-2/src/caller.rs
+++ b/review/standins-2/src/caller.rs
@@ -4,11 +4,16 @@
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::os::fd::AsRawFd;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
+extern "C" {
+    fn ioctl(file: i32, request: u64, ...) -> i32;
+}
+
 /// What callers have seen of a call, on any connection.
 #[derive(Clone, Debug, Default)]
 pub struct Seen {
@@ -169,6 +174,13 @@
         sent
     }
 
+    /// Whether the other machine has not yet taken in all that was written.
+    pub fn has_unacknowledged(&self) -> bool {
+        const SIOCOUTQ: u64 = 0x5411;
+        let mut count = 0_i32;
+        unsafe { ioctl(self.stream.as_raw_fd(), SIOCOUTQ, &mut count) != 0 || count > 0 }
+    }
+
     /// The path to the session controller is cut: the connection stays open, and nothing more is heard or sent on it.
     pub fn fall_silent(&self) {
         self.silent.store(true, Ordering::Relaxed);
--- a/review/standins-2/src/cases/half_written.rs
+++ b/review/standins-2/src/cases/half_written.rs
@@ -112,6 +112,14 @@
                     }
                     sleep(Duration::from_millis(5));
                 }
+                // A request is taken once its last byte is written to a connection that the machine accepted.
+                if callers.seen(id).answers.is_empty()
+                    && !connection.has_ended()
+                    && connection.has_unacknowledged()
+                {
+                    record.line(&format!("{name}: the machine has not accepted the connection"));
+                    return None;
+                }
                 break;
             }
             Some((name, id, callers.seen(id).answers.first().map(|a| (a.0 - sent, a.1))))
--- a/review/standins-2/src/hub.rs
+++ b/review/standins-2/src/hub.rs
@@ -487,6 +487,8 @@
     }
 
     fn release(&self, state: &mut State, id: u64, cause: u8, connection: u64) {
+        // The call is over before its release is written: a caller may hear of it before this thread goes on.
+        let ended_at = Instant::now();
         let report = state.full_report();
         let bytes = message(RELEASE, id, &[(128, &[cause]), (118, report.as_bytes())]);
         let mut open: Vec<u64> = state.connections.keys().copied().collect();
@@ -503,7 +505,7 @@
         }
         if let Some(call) = state.calls.get_mut(&id) {
             call.phase = if cause == 16 { Phase::ReleasedByHub } else { Phase::Cut };
-            call.ended_at = Some(Instant::now());
+            call.ended_at = Some(ended_at);
             call.release_written_at = written.map(|_| Instant::now());
             call.pending_release = Some(cause);
         }
--- a/review/standins-2/src/platform.rs
+++ b/review/standins-2/src/platform.rs
@@ -3,6 +3,7 @@
 use crate::record::Record;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Condvar, Mutex};
@@ -10,6 +11,7 @@
 use std::time::{Duration, Instant};
 
 extern "C" {
+    fn prctl(option: i32, value: u64) -> i32;
     fn kill(pid: i32, signal: i32) -> i32;
 }
 
@@ -19,11 +21,22 @@
 /// The process ids of what was started and has not ended yet.
 static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
-/// Ends every program that this process started.
+/// The folder of this run.
+static FOLDER: Mutex<Option<PathBuf>> = Mutex::new(None);
+
+pub fn set_folder(folder: &Path) {
+    *FOLDER.lock().unwrap_or_else(|e| e.into_inner()) = Some(folder.into());
+}
+
+/// Ends every program that this process started, and removes the run's folder.
 pub fn end_all() {
     for pid in STARTED.lock().unwrap_or_else(|e| e.into_inner()).drain(..) {
         unsafe { kill(pid as i32, SIGKILL) };
     }
+    let folder = FOLDER.lock().unwrap_or_else(|e| e.into_inner()).take();
+    if let Some(folder) = folder.filter(|_| std::env::var("REVIEW_KEEP").is_err()) {
+        let _ = std::fs::remove_dir_all(folder);
+    }
 }
 
 /// What differs between the deployments of the cases.
@@ -255,6 +268,14 @@
         } else {
             command.env_remove("PETRELDOCK_OPERATOR");
         }
+        // The system ends the program with this process, however that ends: also by a signal that nothing can handle.
+        unsafe {
+            command.pre_exec(|| {
+                const PR_SET_PDEATHSIG: i32 = 1;
+                prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
+                Ok(())
+            })
+        };
         let child = command.spawn().expect("start");
         STARTED.lock().unwrap().push(child.id());
         self.record.line(&format!("platform: start {} of the session controller", self.starts));
