End the timers of a call with its final answer

Cause: the core's deadline and the decision module's answer timer of each set-up, and the timers of each attempt, stayed on the wheel until their time, up to 60 s, though they had no effect once the call had its answer. The wheel had no way to remove an item.

Change: TimerWheel::add returns a key and remove takes an item out, with its memory. Action::Timer names its call; a timer that is asked for after the call's answer is not set. A call that the core fails at its deadline is now told to the decision module, which would otherwise have waited for its own timer. The harness of tests/core.rs moves to tests/common, unchanged, for the new tests. The simulator's protocol writes the same lines as before.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -19,7 +19,7 @@
 use outcome::ObservedEnd;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
-use timer_wheel::{TimerWheel, TICK_LENGTH};
+use timer_wheel::{TimerKey, TimerWheel, TICK_LENGTH};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Duration, Instant, MissedTickBehavior};
 
@@ -41,8 +41,7 @@
 /// Number of removed hubs that are remembered, so that a hub that returns keeps its id.
 const MAX_GONE_HUBS: usize = 1024;
 /// Upper bound on how long a caller waits for an answer, unless a class of the settings has a longer
-/// deadline. The bound is needed because the timers of a set-up are kept until its deadline, even after it
-/// has ended.
+/// deadline.
 const MAX_CALLER_WAIT: Micros = Micros(60_000_000);
 /// Number of hubs whose learned state is collected at one tick, so that no call waits for all hubs.
 const HUBS_COLLECTED_PER_TICK: usize = 128;
@@ -120,6 +119,8 @@
     number: u64,
     sent_at: Micros,
     times_out_at: Micros,
+    /// The timer of its time-out.
+    timer: TimerKey,
     /// Set when the attempt is given up: the outcome that it ends with.
     give_up_reason: Option<Outcome>,
 }
@@ -145,6 +146,8 @@
     may_have_run: bool,
     /// End of the release pause: no further attempt starts earlier.
     not_before: Micros,
+    /// Timers of the call, other than its attempt's time-out, that have not come due.
+    timers: Vec<TimerKey>,
 }
 
 impl Call {
@@ -156,8 +159,8 @@
 
 /// What to do when a timer of the core fires.
 enum TimerEvent {
-    /// A timer that the decision module asked for, with its token.
-    Module(u64),
+    /// A timer that the decision module asked for, with its call and token.
+    Module(CallId, u64),
     /// The time-out of the attempt with this number.
     Attempt(CallId, u64),
     Deadline(CallId),
@@ -323,6 +326,11 @@
         self.calls.len()
     }
 
+    /// Returns the number of timers that are set.
+    pub fn waiting_timers(&self) -> usize {
+        self.timers.len()
+    }
+
     /// Returns the number of known hubs, including removed ones.
     pub fn known_hubs(&self) -> usize {
         self.hubs.len()
@@ -410,9 +418,14 @@
 
     /// Handles the timers that are due and publishes the current status and load.
     pub fn tick(&mut self, now: Micros) {
-        for event in self.timers.advance(now) {
+        for (key, event) in self.timers.advance(now) {
             match event {
-                TimerEvent::Module(token) => self.dispatch(now, Event::Timer(token)),
+                TimerEvent::Module(id, token) => {
+                    if let Some(call) = self.calls.get_mut(&id) {
+                        call.timers.retain(|timer| *timer != key);
+                    }
+                    self.dispatch(now, Event::Timer(token));
+                }
                 TimerEvent::Attempt(id, number) => {
                     let attempt =
                         self.calls.get(&id).filter(|c| !c.established).and_then(|c| c.attempt.as_ref());
@@ -425,6 +438,7 @@
                 TimerEvent::Deadline(id) => {
                     if self.calls.get(&id).is_some_and(|c| !c.answered) {
                         self.give_final_answer(now, Action::Fail(id));
+                        self.dispatch(now, Event::CallerLeft(id));
                     }
                 }
                 // Calls still open when the process must end are refused; otherwise their callers would get
@@ -515,7 +529,7 @@
         self.description_bytes = description_bytes;
         self.unanswered += 1;
         self.call_by_name.insert(offer.call, id);
-        self.timers.add(deadline, TimerEvent::Deadline(id));
+        let deadline_timer = self.timers.add(deadline, TimerEvent::Deadline(id));
         let call = Call {
             id,
             name: offer.call,
@@ -532,6 +546,7 @@
             attempts_sent: 0,
             may_have_run: false,
             not_before: Micros(0),
+            timers: vec![deadline_timer],
         };
         self.calls.insert(id, call);
         self.dispatch(now, Event::Call(new_call));
@@ -539,9 +554,10 @@
 
     fn handle_withdrawal(&mut self, now: Micros, front: FrontId, name: CallName) {
         let Some(id) = self.call_by_name.get(&name).copied() else { return };
-        let Some(call) = self.calls.get_mut(&id).filter(|c| c.front == front && !c.answered) else { return };
-        call.answered = true;
-        self.unanswered -= 1;
+        if !self.calls.get(&id).is_some_and(|c| c.front == front && !c.answered) {
+            return;
+        }
+        self.mark_answered(id);
         self.dispatch(now, Event::CallerLeft(id));
         self.give_up(id, Outcome::Withdrawn);
         self.remove_call_if_over(now, id);
@@ -676,12 +692,11 @@
     /// Fails the call if it has no final answer yet. The open attempt is not given up, because the hub has
     /// already ended it.
     fn fail_without_give_up(&mut self, now: Micros, id: CallId) {
-        let Some(call) = self.calls.get_mut(&id).filter(|c| !c.answered) else { return };
-        call.answered = true;
-        self.unanswered -= 1;
+        let Some(call) = self.calls.get(&id).filter(|c| !c.answered) else { return };
         let (front, message) = (call.front, ToFront::Fail(call.origin, call.name));
         metrics::CALLS_FAILED.increment();
         tracing::debug!(call = %call.name, "call failed: released before its answer");
+        self.mark_answered(id);
         self.to_front(front, message);
         self.dispatch(now, Event::CallerLeft(id));
     }
@@ -701,9 +716,8 @@
         match (id, attempt) {
             (Some(_), Some((_, true))) => {}
             (Some(id), Some((None, false))) if self.calls.get(&id).is_some_and(|c| !c.answered) => {
+                self.mark_answered(id);
                 let Some(call) = self.calls.get_mut(&id) else { return };
-                call.answered = true;
-                self.unanswered -= 1;
                 call.established = true;
                 self.description_bytes -= call.description.bytes.len();
                 call.description = Description::default();
@@ -785,6 +799,7 @@
         let Some(call) = self.calls.get_mut(&id) else { return };
         let Some(attempt) = call.attempt.take() else { return };
         self.calls_by_link.remove(&(attempt.link, id));
+        self.timers.remove(attempt.timer);
         call.established = false;
         call.may_have_run |= !outcome.proves_never_ran();
         tracing::debug!(call = %call.name, attempt = attempt.number, link = attempt.link.0, ?outcome, "attempt ended");
@@ -814,6 +829,17 @@
         self.to_hub(link, ToHub::GiveUp(name, number));
     }
 
+    /// Records that the call has its final answer, or that none is due any more. Its timers end with that.
+    fn mark_answered(&mut self, id: CallId) {
+        let Some(call) = self.calls.get_mut(&id).filter(|c| !c.answered) else { return };
+        call.answered = true;
+        self.unanswered -= 1;
+        let attempt_timer = call.attempt.as_ref().map(|attempt| attempt.timer);
+        for timer in std::mem::take(&mut call.timers).into_iter().chain(attempt_timer) {
+            self.timers.remove(timer);
+        }
+    }
+
     fn remove_call_if_over(&mut self, now: Micros, id: CallId) {
         if self.calls.get(&id).is_some_and(|c| c.answered && c.attempt.is_none()) {
             if let Some(call) = self.calls.remove(&id) {
@@ -1049,7 +1075,11 @@
                             self.give_up(id, Outcome::Withdrawn);
                         }
                     }
-                    Action::Timer(at, token) => self.timers.add(at, TimerEvent::Module(token)),
+                    Action::Timer(id, at, token) => {
+                        if let Some(call) = self.calls.get_mut(&id).filter(|c| !c.answered) {
+                            call.timers.push(self.timers.add(at, TimerEvent::Module(id, token)));
+                        }
+                    }
                     // Session controllers cannot send each other these messages, and list changes arrive
                     // without a subscription.
                     Action::SendToPeer(..) | Action::Subscribe => {}
@@ -1102,11 +1132,11 @@
             number,
             sent_at: now,
             times_out_at: until,
+            timer: self.timers.add(until, TimerEvent::Attempt(id, number)),
             give_up_reason: None,
         });
         self.calls_by_link.insert((*link, id));
         call.attempts_sent += 1;
-        self.timers.add(until, TimerEvent::Attempt(id, number));
         true
     }
 
@@ -1117,9 +1147,8 @@
         let Some(call) = self.calls.get_mut(&id).filter(|c| !c.answered) else { return };
         let open = call.idempotency != Idempotency::Free && call.attempt.is_some();
         let action = if call.must_not_repeat() || open { Action::Fail(id) } else { action };
-        call.answered = true;
-        self.unanswered -= 1;
         let (front, origin, name) = (call.front, call.origin, call.name);
+        self.mark_answered(id);
         tracing::debug!(call = %name, refused = matches!(action, Action::Refuse(..)), "call ended without an answer");
         let message = match action {
             Action::Refuse(_, retry_after) => {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -360,8 +360,9 @@
     Fail(CallId),
     /// Cancel this attempt of this call.
     Cancel(CallId, u32),
-    /// Set a timer for this time, to be returned with this token.
-    Timer(Micros, u64),
+    /// Set a timer of this call for this time, to be returned with this token. It is not needed any more once the call
+    /// has been answered or is over.
+    Timer(CallId, Micros, u64),
     /// Send a message to the controller with this index.
     SendToPeer(u32, Vec<u8>),
     /// Subscribe to the server list.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -249,7 +249,7 @@
 
 /// A timer action, whose token holds the call and the kind of timer.
 fn timer(at: Micros, id: CallId, kind: u64) -> Action {
-    Action::Timer(at, id.0.wrapping_mul(TIMER_KINDS).wrapping_add(kind))
+    Action::Timer(id, at, id.0.wrapping_mul(TIMER_KINDS).wrapping_add(kind))
 }
 
 impl Controller {
--- a/src/simulator_protocol.rs
+++ b/src/simulator_protocol.rs
@@ -227,7 +227,7 @@
         }
         Action::Fail(id) => writeln!(out, "end_failed handle={}", id.0),
         Action::Cancel(id, attempt) => writeln!(out, "undo_send handle={} copy={attempt}", id.0),
-        Action::Timer(at, token) => writeln!(out, "after alarmTime={} mark={token}", at.0),
+        Action::Timer(_, at, token) => writeln!(out, "after alarmTime={} mark={token}", at.0),
         Action::SendToPeer(peer, bytes) => {
             let hex: String = bytes.iter().map(|b| format!("{b:02x}")).collect();
             writeln!(out, "notify whom={peer} msg={hex}")
--- a/tests/cold_hub_ramp.rs
+++ b/tests/cold_hub_ramp.rs
@@ -451,7 +451,7 @@
                 let step = Step::EndAttempt { call: id.0, attempt, outcome: Outcome::Withdrawn };
                 self.schedule(2 * ONE_WAY_LATENCY, step);
             }
-            Action::Timer(at, token) => {
+            Action::Timer(_, at, token) => {
                 let after = at.0.saturating_sub(self.now);
                 self.schedule(after, Step::Deliver(controller, Event::Timer(token)));
             }
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -1,144 +1,18 @@
 //! Tests of the core with injected time and without sockets: each rule that it enforces, and messages that
 //! cross.
 
+#[path = "common/core_harness.rs"]
+mod core_harness;
 #[path = "common/site_config.rs"]
 mod site_config;
 
-use bytes::Bytes;
-use petreldock::config::Config;
+use core_harness::*;
 use petreldock::core::*;
 use petreldock::interface::*;
 use petreldock::learning::{DecaySettings, Identity, LearnedHub, LearnedState, RestoredState};
-use petreldock::net::change_log_poller;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use tokio::sync::{mpsc, watch};
 
-const SECOND: u64 = 1_000_000;
-const START: u64 = 1_700_000_000_000_000;
-
-struct OpenedLink {
-    link: LinkId,
-    endpoint: String,
-    commands: mpsc::Receiver<ToHub>,
-}
-
-struct Harness {
-    core: Core,
-    front: mpsc::Receiver<ToFront>,
-    links: Arc<Mutex<Vec<OpenedLink>>>,
-    status: watch::Receiver<Status>,
-    now: u64,
-}
-
-fn hub(uid: &str, endpoint: &str, place: i64, phase: Phase) -> Hub {
-    Hub { uid: uid.into(), endpoint: endpoint.into(), place, phase, born: None }
-}
-
-/// A hub list update that takes effect when it is received.
-fn list(full: bool, hubs: Vec<Hub>) -> Input {
-    Input::HubList(HubListUpdate { full, hubs, effective_since: Micros(u64::MAX), seq: 0 })
-}
-
-impl Harness {
-    fn new() -> Harness {
-        Harness::with(|_| {})
-    }
-
-    fn with(change: impl Fn(&mut Config)) -> Harness {
-        let targets = [
-            site_config::target("a", "10.0.0.1:1", 0, "in_service"),
-            site_config::target("b", "10.0.0.2:1", 1, "in_service"),
-        ];
-        let mut config = site_config::config(&targets);
-        change(&mut config);
-        let (sender, front) = mpsc::channel(100);
-        let links: Arc<Mutex<Vec<OpenedLink>>> = Arc::default();
-        let opened = links.clone();
-        let connect = Box::new(move |link, endpoint: &str| {
-            let (sender, commands) = mpsc::channel(100);
-            opened.lock().expect("lock").push(OpenedLink { link, endpoint: endpoint.into(), commands });
-            sender
-        });
-        let (status, watched) = watch::channel(Status::default());
-        let core = Core::new(&config, vec![sender], connect, status, Micros(START)).expect("valid settings");
-        let mut harness = Harness { core, front, links, status: watched, now: START };
-        for input in change_log_poller::core_inputs(config.known, &mut 0, Micros(0)) {
-            harness.input(input);
-        }
-        harness
-    }
-
-    fn input(&mut self, input: Input) {
-        self.core.handle(Micros(self.now), input);
-    }
-
-    /// Advances the time, tick by tick.
-    fn advance(&mut self, span: u64) {
-        let end = self.now + span;
-        while self.now < end {
-            self.now = (self.now + 5_000).min(end);
-            self.core.tick(Micros(self.now));
-        }
-    }
-
-    fn offer(&mut self, call: u64, place: i64) {
-        self.offer_with(call, place, &[]);
-    }
-
-    fn offer_with(&mut self, call: u64, place: i64, body: &[u8]) {
-        self.offer_from(5, call, place, body);
-    }
-
-    fn offer_from(&mut self, origin: u64, call: u64, place: i64, body: &[u8]) {
-        let deadline = Some(Micros(self.now + 3 * SECOND));
-        self.input(Input::Offer(Offer {
-            front: FrontId(0),
-            origin: Origin(origin),
-            call: CallName(call),
-            class: "voice".into(),
-            number: "7f3a".into(),
-            place,
-            deadline,
-            repeat: false,
-            returned: false,
-            description: Description { format: "test", bytes: Bytes::copy_from_slice(body) },
-        }));
-    }
-
-    fn withdraw(&mut self, call: u64) {
-        self.input(Input::Withdrawn(FrontId(0), Origin(5), CallName(call)));
-    }
-
-    fn hub_event(&mut self, link: usize, event: FromHub) {
-        let link = self.links.lock().expect("lock")[link].link;
-        self.input(Input::Hub(link, event));
-    }
-
-    fn released(&mut self, link: usize, call: u64, cause: u8, note: RefusalNote) {
-        self.hub_event(link, FromHub::Released(CallName(call), Cause(cause), note, Report::default()));
-    }
-
-    fn answered(&mut self, link: usize, call: u64) {
-        self.hub_event(link, FromHub::Answered(CallName(call), Description::default()));
-    }
-
-    fn next_command(&mut self, link: usize) -> Option<ToHub> {
-        self.links.lock().expect("lock")[link].commands.try_recv().ok()
-    }
-
-    /// Returns the number of the attempt that a link is told to start next, if any.
-    fn next_set_up(&mut self, link: usize) -> Option<u64> {
-        match self.next_command(link)? {
-            ToHub::SetUp(set_up) => Some(set_up.attempt),
-            other => panic!("expected a set-up, got {other:?}"),
-        }
-    }
-
-    fn next_message(&mut self) -> Option<ToFront> {
-        self.front.try_recv().ok()
-    }
-}
-
 #[test]
 fn a_refusal_by_a_full_hub_leads_to_another_hub_and_exactly_one_answer() {
     let mut harness = Harness::new();
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -216,7 +216,7 @@
     let timers: Vec<(u64, u64)> = actions
         .iter()
         .filter_map(|a| match a {
-            Action::Timer(at, token) => Some((at.0, *token)),
+            Action::Timer(_, at, token) => Some((at.0, *token)),
             _ => None,
         })
         .collect();
@@ -322,7 +322,7 @@
     let actions = fixture.end_attempt(1, 0, Outcome::Broken);
     assert_eq!(sent(&actions), None);
     let retry = actions.iter().find_map(|a| match a {
-        Action::Timer(at, token) => Some((at.0, *token)),
+        Action::Timer(_, at, token) => Some((at.0, *token)),
         _ => None,
     });
     let (at, token) = retry.expect("the call is retried");
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -79,7 +79,7 @@
                     "only the attempt in flight is cancelled"
                 );
             }
-            Action::Timer(at, token) => self.timers.push((at.0, token)),
+            Action::Timer(_, at, token) => self.timers.push((at.0, token)),
             Action::SendToPeer(peer, bytes) => {
                 assert!(
                     self.settings.may_message_peers
--- a/tests/simulator_protocol.rs
+++ b/tests/simulator_protocol.rs
@@ -141,7 +141,7 @@
         (Action::Refuse(CallId(1), Micros(0)), "overload_reply handle=1\n"),
         (Action::Fail(CallId(1)), "end_failed handle=1\n"),
         (Action::Cancel(CallId(1), 2), "undo_send handle=1 copy=2\n"),
-        (Action::Timer(Micros(5), 6), "after alarmTime=5 mark=6\n"),
+        (Action::Timer(CallId(2), Micros(5), 6), "after alarmTime=5 mark=6\n"),
         (Action::SendToPeer(3, vec![0, 255]), "notify whom=3 msg=00ff\n"),
         (Action::Subscribe, "watch on=1\n"),
     ];
