Bound all that open set-ups hold, and keep their headers as one text

Cause: the front kept the headers that responses repeat as pairs of strings, some 110 bytes for a field of 4, and its limit of 2 KiB counted names and values alone. The core bounded descriptions only. The front bounded nothing between its sockets and the core.

Change: ResponseHeaders is one text, counted whole. Offer::open_bytes is what an open set-up takes, with what its front retains and a fixed part for the tables; core and front each bound the sum by a quarter of memory_mb, the front from the moment it has read a request. A call with its final answer drops its number and class. A request with many short fields now gets 513 earlier, as their separators count.

--- a/benches/state.rs
+++ b/benches/state.rs
@@ -91,6 +91,7 @@
             repeat: false,
             returned: false,
             description: Description::default(),
+            retained_bytes: 0,
         };
         timed(&mut core, Some(Input::Offer(offer)));
         let mut events = Vec::new();
--- a/src/config.rs
+++ b/src/config.rs
@@ -276,8 +276,8 @@
     pub release: Micros,
     /// Maximum number of calls open at once.
     pub max_open: usize,
-    /// Maximum total size of the descriptions of open set-ups, in bytes.
-    pub max_description_bytes: usize,
+    /// Maximum total size of the memory that open set-ups take, in bytes.
+    pub max_open_bytes: usize,
     /// Maximum number of file descriptors of the process.
     pub sockets: usize,
     /// Whether hubs may be probed with test messages.
@@ -543,8 +543,7 @@
                 drain_grace: settings.drain_grace,
                 release: settings.release,
                 max_open: limits.key("maxOpen").value_or(20_000, JsonNode::count)?.max(1) as usize,
-                max_description_bytes: process_limits.key("memory_mb").value_or(192, JsonNode::count)?
-                    as usize
+                max_open_bytes: process_limits.key("memory_mb").value_or(192, JsonNode::count)? as usize
                     * MEBIBYTE
                     / 4,
                 sockets: process_limits.key("sockets").value_or(1024, JsonNode::count)?.max(64) as usize,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -136,6 +136,8 @@
     idempotency: Idempotency,
     number: Arc<str>,
     description: Description,
+    /// Size of the open set-up; zero once it is answered.
+    open_bytes: usize,
     deadline: Micros,
     /// The final answer was given, or none is due any more.
     answered: bool,
@@ -223,8 +225,8 @@
     call_by_name: HashMap<CallName, CallId>,
     /// Number of calls that still wait for their final answer.
     unanswered: usize,
-    /// Total size of the descriptions that open calls hold.
-    description_bytes: usize,
+    /// Total size of the open set-ups.
+    open_bytes: usize,
     ended_calls: HashMap<CallName, Micros>,
     ended_calls_by_age: VecDeque<(CallName, Micros)>,
     hubs: Vec<HubState>,
@@ -280,7 +282,7 @@
             calls: BTreeMap::new(),
             call_by_name: HashMap::new(),
             unanswered: 0,
-            description_bytes: 0,
+            open_bytes: 0,
             ended_calls: HashMap::new(),
             ended_calls_by_age: VecDeque::new(),
             hubs: Vec::new(),
@@ -509,8 +511,10 @@
         let deadline = offer.deadline.unwrap_or(now + class_deadline).min(now + longest);
         // The number of calls alone does not bound the memory: set-ups of 16 KiB each would exhaust it long
         // before the table is full.
-        let description_bytes = self.description_bytes + offer.description.bytes.len();
-        if self.calls.len() >= self.limits.max_open || description_bytes > self.limits.max_description_bytes {
+        let open_bytes = offer.open_bytes();
+        if self.calls.len() >= self.limits.max_open
+            || self.open_bytes + open_bytes > self.limits.max_open_bytes
+        {
             return self.to_front(offer.front, ToFront::Refuse(offer.origin, offer.call, Micros(0)));
         }
         self.last_call_id += 1;
@@ -526,7 +530,7 @@
             transit: false,
         };
         tracing::debug!(call = %offer.call, within_us = (deadline - now).0, "call accepted");
-        self.description_bytes = description_bytes;
+        self.open_bytes += open_bytes;
         self.unanswered += 1;
         self.call_by_name.insert(offer.call, id);
         let deadline_timer = self.timers.add(deadline, TimerEvent::Deadline(id));
@@ -539,6 +543,7 @@
             idempotency,
             number: offer.number,
             description: offer.description,
+            open_bytes,
             deadline,
             answered: false,
             established: false,
@@ -719,8 +724,6 @@
                 self.mark_answered(id);
                 let Some(call) = self.calls.get_mut(&id) else { return };
                 call.established = true;
-                self.description_bytes -= call.description.bytes.len();
-                call.description = Description::default();
                 let Some(attempt) = &call.attempt else { return };
                 let (front, origin, server, index) = (call.front, call.origin, attempt.server, attempt.index);
                 let answer_time = now - attempt.sent_at;
@@ -829,11 +832,16 @@
         self.to_hub(link, ToHub::GiveUp(name, number));
     }
 
-    /// Records that the call has its final answer, or that none is due any more. Its timers end with that.
+    /// Records that the call has its final answer, or that none is due any more. No attempt follows, so its timers end,
+    /// and what an attempt would send is released.
     fn mark_answered(&mut self, id: CallId) {
         let Some(call) = self.calls.get_mut(&id).filter(|c| !c.answered) else { return };
         call.answered = true;
         self.unanswered -= 1;
+        self.open_bytes -= std::mem::take(&mut call.open_bytes);
+        call.class = Arc::default();
+        call.number = Arc::default();
+        call.description = Description::default();
         let attempt_timer = call.attempt.as_ref().map(|attempt| attempt.timer);
         for timer in std::mem::take(&mut call.timers).into_iter().chain(attempt_timer) {
             self.timers.remove(timer);
@@ -843,7 +851,6 @@
     fn remove_call_if_over(&mut self, now: Micros, id: CallId) {
         if self.calls.get(&id).is_some_and(|c| c.answered && c.attempt.is_none()) {
             if let Some(call) = self.calls.remove(&id) {
-                self.description_bytes -= call.description.bytes.len();
                 self.call_by_name.remove(&call.name);
                 self.remember_ended_call(now, call.name);
             }
--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -72,6 +72,10 @@
     pub bytes: Bytes,
 }
 
+/// Size of an open set-up in the tables of the front, the core, the decision module and the link, without what its
+/// caller chooses.
+const OPEN_SET_UP_BYTES: usize = 1536;
+
 /// A set-up from a caller.
 #[derive(Clone, Debug)]
 pub struct Offer {
@@ -95,6 +99,19 @@
     pub returned: bool,
     /// The session's description.
     pub description: Description,
+    /// Number of bytes that the front retains until the call has its final answer.
+    pub retained_bytes: usize,
+}
+
+impl Offer {
+    /// Number of bytes that the set-up takes, here and at its front, while it is open.
+    pub fn open_bytes(&self) -> usize {
+        OPEN_SET_UP_BYTES
+            + self.retained_bytes
+            + self.class.len()
+            + self.number.len()
+            + self.description.bytes.len()
+    }
 }
 
 /// A set-up to be sent to a hub.
--- a/src/iax2/front.rs
+++ b/src/iax2/front.rs
@@ -205,6 +205,7 @@
             repeat: false,
             returned: false,
             description: Description { format: DESCRIPTION_FORMAT, bytes: description.into() },
+            retained_bytes: 0,
         }));
         self.by_peer.insert((from, full.source), local);
         self.by_name.insert(name, local);
--- a/src/main.rs
+++ b/src/main.rs
@@ -194,6 +194,7 @@
     let sip_config = sip_server::Config {
         id: FrontId(0),
         sockets: config.limits.sockets,
+        max_open_bytes: config.limits.max_open_bytes,
         clock,
         core: inputs.clone(),
         status: status_receiver.clone(),
--- a/src/net/sip.rs
+++ b/src/net/sip.rs
@@ -31,6 +31,25 @@
     pub bytes: usize,
 }
 
+/// The headers that a response copies from its request, as lines of text. A request may have thousands of short ones, so
+/// that separate strings would take many times the size of the message.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ResponseHeaders {
+    lines: Box<str>,
+}
+
+impl ResponseHeaders {
+    /// Their size in bytes.
+    pub fn size(&self) -> usize {
+        self.lines.len()
+    }
+
+    /// The lines, without their ends.
+    pub fn lines(&self) -> impl Iterator<Item = &str> {
+        self.lines.split_terminator("\r\n")
+    }
+}
+
 /// Input that is not a valid message.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Malformed {
@@ -39,7 +58,7 @@
     /// response.
     Request {
         /// The headers that a response copies.
-        headers: Vec<(String, String)>,
+        headers: ResponseHeaders,
         /// How many bytes of the input the request takes.
         bytes: usize,
     },
@@ -65,7 +84,7 @@
     }
 
     /// Returns the headers that a response copies from the request (RFC 3261, 8.2.6.2).
-    pub fn response_headers(&self) -> Vec<(String, String)> {
+    pub fn response_headers(&self) -> ResponseHeaders {
         response_headers(&self.headers)
     }
 }
@@ -74,10 +93,14 @@
     headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| &**v)
 }
 
-fn response_headers(headers: &[(&str, Cow<str>)]) -> Vec<(String, String)> {
+fn response_headers(headers: &[(&str, Cow<str>)]) -> ResponseHeaders {
     let is_copied =
         |n: &str| ["Via", "From", "To", "Call-ID", "CSeq"].iter().any(|k| k.eq_ignore_ascii_case(n));
-    headers.iter().filter(|(n, _)| is_copied(n)).map(|(n, v)| (n.to_string(), v.to_string())).collect()
+    let mut lines = String::new();
+    for (name, value) in headers.iter().filter(|(name, _)| is_copied(name)) {
+        let _ = write!(lines, "{name}: {value}\r\n");
+    }
+    ResponseHeaders { lines: lines.into() }
 }
 
 fn token<'a>(input: &mut &'a str) -> ModalResult<&'a str> {
@@ -194,17 +217,18 @@
 pub fn write_response(
     out: &mut Vec<u8>,
     (status, phrase): (u16, &str),
-    headers: &[(String, String)],
+    headers: &ResponseHeaders,
     tag: &str,
     extra_headers: &[(&str, &str)],
     body: &[u8],
 ) {
     let mut head = format!("SIP/2.0 {status} {phrase}\r\n");
-    for (name, value) in headers {
-        let keeps_value = !name.eq_ignore_ascii_case("To") || status == 100 || value.contains(";tag=");
-        let _ = match keeps_value {
-            true => write!(head, "{name}: {value}\r\n"),
-            false => write!(head, "{name}: {value};tag={tag}\r\n"),
+    for line in headers.lines() {
+        let name = line.split(':').next().unwrap_or("");
+        let is_complete = !name.eq_ignore_ascii_case("To") || status == 100 || line.contains(";tag=");
+        let _ = match is_complete {
+            true => write!(head, "{line}\r\n"),
+            false => write!(head, "{line};tag={tag}\r\n"),
         };
     }
     write_headers_and_body(out, head, extra_headers, body);
--- a/src/net/sip_server/connection.rs
+++ b/src/net/sip_server/connection.rs
@@ -1,8 +1,10 @@
 //! One caller connection: its socket, its limits, and what has to be released when it closes.
 
 mod messages;
+mod open_set_ups;
 mod pending_inputs;
 
+use self::open_set_ups::OpenSetUps;
 use self::pending_inputs::PendingInputs;
 use super::registry::Command;
 use super::release_tracker::ReleaseTracker;
@@ -13,7 +15,7 @@
 use crate::net::buffer::{Buffer, MAX_MESSAGE_BYTES};
 use crate::net::shared_count::CountShare;
 use crate::net::sip::{self, Malformed, StartLine};
-use std::collections::{HashMap, VecDeque};
+use std::collections::VecDeque;
 use std::io;
 use std::sync::Arc;
 use tokio::io::AsyncWriteExt;
@@ -70,19 +72,13 @@
     Closed,
 }
 
-/// A set-up that has no final response yet.
-struct OpenSetUp {
-    /// The request headers that its responses repeat.
-    headers: Vec<(String, String)>,
-}
-
 /// State of one caller connection.
 struct Connection {
     server: Arc<Server>,
     number: u64,
     input: Buffer,
     output: Vec<u8>,
-    open_set_ups: HashMap<CallName, OpenSetUp>,
+    open_set_ups: OpenSetUps,
     /// Total number of bytes written.
     bytes_written: u64,
     /// Answers in the output that are not written yet, each with the total number of bytes written once it is.
@@ -121,7 +117,7 @@
         number,
         input: Buffer::default(),
         output: Vec::new(),
-        open_set_ups: HashMap::new(),
+        open_set_ups: OpenSetUps::new(&server.open_bytes),
         bytes_written: 0,
         unwritten_answers: VecDeque::new(),
         releases: ReleaseTracker::new(number),
@@ -147,7 +143,7 @@
     connection.flush_pending().await;
     let unsent = connection.write_last_refusals(&stream, &mut commands).await;
     let Connection {
-        open_set_ups,
+        mut open_set_ups,
         bytes_written,
         unwritten_answers,
         releases,
@@ -155,9 +151,7 @@
         mut outstanding_share,
         ..
     } = connection;
-    let mut calls: Vec<CallName> = open_set_ups.into_keys().collect();
-    calls.sort();
-    for call in calls {
+    for (call, _) in open_set_ups.take_all() {
         server.send_to_core(Input::Withdrawn(server.id, Origin(number), call)).await;
     }
     // The caller never received these answers whole, so their calls are hung up at the hub, which considers them up.
@@ -411,7 +405,7 @@
     /// Drops set-ups that were not sent to the core, because their caller has disconnected.
     fn drop_unsent_offers(&mut self, inputs: &mut Vec<Input>) {
         inputs.retain(
-            |input| !matches!(input, Input::Offer(offer) if self.open_set_ups.remove(&offer.call).is_some()),
+            |input| !matches!(input, Input::Offer(offer) if self.open_set_ups.remove(offer.call).is_some()),
         );
     }
 
@@ -478,9 +472,7 @@
 
     /// Fails and withdraws the open set-ups, and closes the connection once the responses are written.
     async fn fail_open_set_ups(&mut self) {
-        let mut open: Vec<(CallName, OpenSetUp)> = self.open_set_ups.drain().collect();
-        open.sort_by_key(|(call, _)| *call);
-        for (call, set_up) in open {
+        for (call, set_up) in self.open_set_ups.take_all() {
             self.respond((500, "Server Internal Error"), &set_up.headers, &[], &[]);
             let withdrawn = Input::Withdrawn(self.server.id, Origin(self.number), call);
             self.server.send_to_core(withdrawn).await;
--- a/src/net/sip_server/connection/messages.rs
+++ b/src/net/sip_server/connection/messages.rs
@@ -1,10 +1,11 @@
 //! Handling of a caller's SIP messages, and of the core's messages to the caller.
 
-use super::{Connection, OpenSetUp};
+use super::open_set_ups::OpenSetUp;
+use super::Connection;
 use crate::core::{CallName, Cause, Description, Input, Offer, Origin, ToFront};
 use crate::interface::Micros;
 use crate::metrics;
-use crate::net::sip::{self, Message, StartLine};
+use crate::net::sip::{self, Message, ResponseHeaders, StartLine};
 use crate::net::sip_server::release_tracker::Release;
 use crate::net::sip_server::MAX_OPEN_SET_UPS;
 use crate::net::SDP;
@@ -35,26 +36,19 @@
                     false => self.respond((503, "Service Unavailable"), &headers, &[], &[]),
                 }
             }
-            ("INVITE", Some(_))
-                if headers.iter().map(|(n, v)| n.len() + v.len()).sum::<usize>()
-                    > MAX_RETAINED_HEADER_BYTES =>
-            {
+            ("INVITE", Some(_)) if headers.size() > MAX_RETAINED_HEADER_BYTES => {
                 self.respond((513, "Message Too Large"), &headers, &[], &[]);
             }
-            ("INVITE", Some(call)) => match self.parse_offer(message, uri, call, arrived) {
-                // A second set-up with the Call-ID of an open one is refused and must not replace it: the response
-                // to the open one repeats the headers of its own request.
-                Ok(offer)
-                    if self.open_set_ups.len() < MAX_OPEN_SET_UPS
-                        && !self.open_set_ups.contains_key(&call) =>
-                {
-                    self.open_set_ups.insert(call, OpenSetUp { headers });
+            ("INVITE", Some(call)) => match self.parse_offer(message, uri, call, arrived, headers.size()) {
+                Ok(offer) if self.takes_set_up(&offer) => {
+                    let bytes = offer.open_bytes();
+                    self.open_set_ups.insert(call, OpenSetUp { headers, bytes });
                     inputs.push(Input::Offer(offer));
                 }
                 Ok(_) => self.respond((503, "Service Unavailable"), &headers, &[], &[]),
                 Err(()) => self.respond((400, "Bad Request"), &headers, &[], &[]),
             },
-            ("CANCEL", Some(call)) => match self.open_set_ups.remove(&call) {
+            ("CANCEL", Some(call)) => match self.open_set_ups.remove(call) {
                 Some(set_up) => {
                     self.respond((200, "OK"), &headers, &[], &[]);
                     self.respond((487, "Request Terminated"), &set_up.headers, &[], &[]);
@@ -66,7 +60,7 @@
                 let cause = message.header("Reason").and_then(sip::cause).map_or(Cause::NORMAL, Cause);
                 self.respond((200, "OK"), &headers, &[], &[]);
                 // A BYE before the answer cancels the set-up, whose INVITE still needs a final response.
-                match self.open_set_ups.remove(&call) {
+                match self.open_set_ups.remove(call) {
                     Some(set_up) => {
                         self.respond((487, "Request Terminated"), &set_up.headers, &[], &[]);
                         inputs.push(Input::Withdrawn(id, origin, call));
@@ -85,6 +79,15 @@
         }
     }
 
+    /// Whether a set-up is passed to the core. A second one with the Call-ID of an open one is refused and must not
+    /// replace it: the response to the open one repeats the headers of its own request. The memory of all connections is
+    /// bounded here, too, since a flood can hold far more set-ups than those that the core has taken.
+    fn takes_set_up(&self, offer: &Offer) -> bool {
+        self.open_set_ups.len() < MAX_OPEN_SET_UPS
+            && !self.open_set_ups.contains(offer.call)
+            && self.open_set_ups.total_bytes() + offer.open_bytes() <= self.server.max_open_bytes
+    }
+
     /// Parses the set-up of an INVITE; the error means that a header or the request URI is invalid.
     fn parse_offer(
         &self,
@@ -92,6 +95,7 @@
         uri: &str,
         call: CallName,
         arrived: Micros,
+        retained_bytes: usize,
     ) -> Result<Offer, ()> {
         let answer_within = message.numeric_header("Answer-Within").map_err(drop)?;
         let data = message.header("Routing-Data").unwrap_or("");
@@ -110,6 +114,7 @@
             repeat: message.header("Repeat-Mark").is_some_and(|v| v == "1"),
             returned: routing_parameter("again") == Some("1"),
             description: Description { format: SDP, bytes: Bytes::copy_from_slice(message.body) },
+            retained_bytes,
         })
     }
 
@@ -117,7 +122,7 @@
     pub(super) async fn handle_core_message(&mut self, message: ToFront) {
         self.last_used = Instant::now();
         match message {
-            ToFront::Answer(_, call, description) => match self.open_set_ups.remove(&call) {
+            ToFront::Answer(_, call, description) => match self.open_set_ups.remove(call) {
                 Some(set_up) => {
                     let contact = format!("<sip:petreldock@{}>", self.server.listen);
                     let more = [("Contact", &*contact), ("Content-Type", SDP)];
@@ -136,7 +141,7 @@
                 }
             },
             ToFront::Refuse(_, call, retry_after) => {
-                if let Some(set_up) = self.open_set_ups.remove(&call) {
+                if let Some(set_up) = self.open_set_ups.remove(call) {
                     let retry_after_ms = (retry_after.0 / 1000).to_string();
                     let more = [("Come-Back-Ms", &*retry_after_ms)];
                     let more = if retry_after_ms == "0" { &[][..] } else { &more[..] };
@@ -144,7 +149,7 @@
                 }
             }
             ToFront::Fail(_, call) => {
-                if let Some(set_up) = self.open_set_ups.remove(&call) {
+                if let Some(set_up) = self.open_set_ups.remove(call) {
                     self.respond((500, "Server Internal Error"), &set_up.headers, &[], &[]);
                 }
             }
@@ -185,7 +190,7 @@
     pub(super) fn respond(
         &mut self,
         status: (u16, &str),
-        headers: &[(String, String)],
+        headers: &ResponseHeaders,
         more: &[(&str, &str)],
         body: &[u8],
     ) {
--- a/src/net/sip_server/mod.rs
+++ b/src/net/sip_server/mod.rs
@@ -33,6 +33,9 @@
     outstanding: SharedCount,
     /// Bytes that connections have read and not yet sent to the core.
     pending_bytes: SharedCount,
+    /// Size of the open set-ups of all connections, in bytes.
+    open_bytes: SharedCount,
+    max_open_bytes: usize,
     max_connections: usize,
 }
 
@@ -58,6 +61,8 @@
     pub id: FrontId,
     /// Maximum number of descriptors that the process may use.
     pub sockets: usize,
+    /// Maximum total size of the memory that open set-ups take, in bytes.
+    pub max_open_bytes: usize,
     /// The clock.
     pub clock: Clock,
     /// The core's input queue.
@@ -75,11 +80,11 @@
     mut messages: mpsc::Receiver<ToFront>,
 ) -> io::Result<()> {
     let listen = listener.local_addr()?;
-    let Config { id, sockets, clock, core, status, outstanding } = config;
+    let Config { id, sockets, max_open_bytes, clock, core, status, outstanding } = config;
     // Callers are expected to use a third of the descriptors. Up to half are allowed as long as the rest is unused.
     let max_connections = sockets / 2;
     let registry = Mutex::default();
-    let pending_bytes = SharedCount::default();
+    let (pending_bytes, open_bytes) = (SharedCount::default(), SharedCount::default());
     let server = Arc::new(Server {
         id,
         listen,
@@ -89,6 +94,8 @@
         registry,
         outstanding,
         pending_bytes,
+        open_bytes,
+        max_open_bytes,
         max_connections,
     });
     let router = server.clone();
--- a/tests/common/core_harness.rs
+++ b/tests/common/core_harness.rs
@@ -101,6 +101,7 @@
             repeat: false,
             returned: false,
             description: Description { format: "test", bytes: Bytes::copy_from_slice(body) },
+            retained_bytes: 0,
         }));
     }
 
--- a/tests/common/sip_test_server.rs
+++ b/tests/common/sip_test_server.rs
@@ -50,8 +50,16 @@
         let (sender, status) = watch::channel(Status { ready: true, ..Status::default() });
         let outstanding = SharedCount::default();
         let (id, clock) = (FrontId(0), Clock::system());
-        let config =
-            sip_server::Config { id, sockets, clock, core, status, outstanding: outstanding.clone() };
+        let max_open_bytes = 8 * 1024 * 1024;
+        let config = sip_server::Config {
+            id,
+            sockets,
+            max_open_bytes,
+            clock,
+            core,
+            status,
+            outstanding: outstanding.clone(),
+        };
         tokio::spawn(sip_server::run(config, listener, to_front));
         TestServer { address, inputs, messages, outstanding, _status: sender }
     }
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -375,6 +375,7 @@
         repeat: false,
         returned: false,
         description: Description::default(),
+        retained_bytes: 0,
     }));
     assert!(matches!(harness.next_message(), Some(ToFront::Fail(_, CallName(2)))));
 }
@@ -394,7 +395,7 @@
 
 #[test]
 fn the_total_size_of_descriptions_is_bounded_and_released_with_the_calls() {
-    let mut harness = Harness::with(|c| c.limits.max_description_bytes = 25_000);
+    let mut harness = Harness::with(|c| c.limits.max_open_bytes = 25_000);
     let body = [b'v'; 10_000];
     for call in [1, 2, 3] {
         harness.offer_with(call, 0, &body);
@@ -410,6 +411,32 @@
     assert!(harness.next_message().is_none(), "nor does an ended call");
 }
 
+/// Only descriptions were bounded, and numbers of 15 KiB exhausted the memory.
+#[test]
+fn long_numbers_and_retained_headers_count_towards_the_size_of_open_set_ups() {
+    for (number_bytes, retained_bytes) in [(10_000, 0), (0, 10_000)] {
+        let mut harness = Harness::with(|c| c.limits.max_open_bytes = 25_000);
+        for call in [1, 2, 3] {
+            let deadline = Some(Micros(harness.now + 3 * SECOND));
+            harness.input(Input::Offer(Offer {
+                front: FrontId(0),
+                origin: Origin(5),
+                call: CallName(call),
+                class: "voice".into(),
+                number: "9".repeat(number_bytes).into(),
+                place: 0,
+                deadline,
+                repeat: false,
+                returned: false,
+                description: Description::default(),
+                retained_bytes,
+            }));
+        }
+        assert!(matches!(harness.next_message(), Some(ToFront::Refuse(_, CallName(3), _))));
+        assert!(harness.next_message().is_none(), "the others fit");
+    }
+}
+
 #[test]
 fn a_shutdown_during_a_state_collection_still_exports_all_hubs_once() {
     let (mut harness, latest) = exporting(None);
@@ -582,6 +609,7 @@
             repeat: false,
             returned: false,
             description: Description::default(),
+            retained_bytes: 0,
         }));
         let Some(ToHub::SetUp(set_up)) = harness.next_command(0) else { panic!("no set-up was sent") };
         let until = set_up.until.0;
@@ -605,6 +633,7 @@
             repeat: false,
             returned: false,
             description: Description::default(),
+            retained_bytes: 0,
         })
     };
     let withdrawn = |call: u64, origin: u64| Input::Withdrawn(FrontId(0), Origin(origin), CallName(call));
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -43,7 +43,7 @@
 #[test]
 fn malformed_sip_request_is_answerable_only_if_identifiable() {
     let answerable = |text: &str| match sip::parse(text.as_bytes()) {
-        Err(Malformed::Request { headers, bytes }) => (headers.len(), bytes),
+        Err(Malformed::Request { headers, bytes }) => (headers.lines().count(), bytes),
         other => panic!("{text}: {other:?}"),
     };
     let no_colon = INVITE.replace("Answer-Within: 1500", "Answer-Within 1500");
