Write responses to a flood before waiting for the core, and release their buffers

Cause: after a part of a flood a connection yielded up to 19 times for the core before it wrote what it had answered, so that hundreds of connections held their responses at once. Output buffers kept their greatest size while a connection was open. Unsent output was bounded for each connection, not in sum.

--- a/src/net/buffer.rs
+++ b/src/net/buffer.rs
@@ -1,4 +1,4 @@
-//! A connection's read buffer, which grows on demand and is compacted in place.
+//! A connection's read buffer, which grows on demand and is compacted in place, and the release of written output.
 
 use std::io;
 use tokio::net::TcpStream;
@@ -6,6 +6,8 @@
 /// The longest message that the SIP and binary parsers accept.
 pub const MAX_MESSAGE_BYTES: usize = 16 * 1024;
 const GROWTH_BYTES: usize = 4 * 1024;
+/// Memory of an output buffer, relative to what it holds, above which it is released.
+const SHRINK_RATIO: usize = 2;
 
 /// Bytes that were read and not yet consumed.
 #[derive(Debug, Default)]
@@ -54,5 +56,14 @@
     }
 }
 
+/// Discards the first `count` bytes of a connection's output, which were written, and most of the memory that is not used
+/// any more. A connection may be open for hours after a single long response.
+pub fn discard_written(output: &mut Vec<u8>, count: usize) {
+    output.drain(..count);
+    if output.capacity() > SHRINK_RATIO * output.len().max(GROWTH_BYTES) {
+        output.shrink_to(GROWTH_BYTES);
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/net/buffer/tests.rs
+++ b/src/net/buffer/tests.rs
@@ -12,3 +12,18 @@
     buffer.consume(1000);
     assert!(buffer.unconsumed().is_empty() && buffer.bytes.capacity() <= GROWTH_BYTES);
 }
+
+#[test]
+fn written_output_releases_its_memory() {
+    let mut output = vec![b'x'; 100_000];
+    discard_written(&mut output, 99_000);
+    assert_eq!(output.len(), 1_000);
+    assert!(output.capacity() < 10_000, "{}", output.capacity());
+    let capacity = output.capacity();
+    discard_written(&mut output, 1_000);
+    assert_eq!(
+        (output.len(), output.capacity()),
+        (0, capacity),
+        "a small buffer is kept for the next response"
+    );
+}
--- a/src/net/hub/connection.rs
+++ b/src/net/hub/connection.rs
@@ -7,7 +7,7 @@
 use crate::core::{CallName, Cause, FromHub, SetUp};
 use crate::interface::Micros;
 use crate::net::binary::{self, code, kind};
-use crate::net::buffer::Buffer;
+use crate::net::buffer::{self, Buffer};
 use crate::net::connection_limit::ConnectionPermit;
 use crate::net::SDP;
 use std::collections::{HashMap, VecDeque};
@@ -288,7 +288,7 @@
 
     /// Accounts for `count` bytes written: records set-ups that have begun and reports give-ups that are complete.
     pub(super) fn advance_written(&mut self, count: usize, events: &mut Vec<FromHub>) {
-        self.output.drain(..count);
+        buffer::discard_written(&mut self.output, count);
         self.written_of_first += count;
         while let Some((length, out)) = self.staged.front() {
             if let Outgoing::SetUp(s) = out {
--- a/src/net/sip_server/connection.rs
+++ b/src/net/sip_server/connection.rs
@@ -12,7 +12,7 @@
 use crate::core::{CallName, Cause, Input, Origin, ToFront};
 use crate::interface::Micros;
 use crate::metrics;
-use crate::net::buffer::{Buffer, MAX_MESSAGE_BYTES};
+use crate::net::buffer::{self, Buffer, MAX_MESSAGE_BYTES};
 use crate::net::shared_count::CountShare;
 use crate::net::sip::{self, Malformed, StartLine};
 use std::collections::VecDeque;
@@ -25,6 +25,8 @@
 
 /// Bytes of unsent output above which the connection is closed, because its caller does not read.
 const MAX_OUTPUT_BYTES: usize = 64 * 1024;
+/// The same while the unsent output of all connections exceeds its limit. Any one message fits.
+const MAX_SCARCE_OUTPUT_BYTES: usize = MAX_MESSAGE_BYTES + MAX_MESSAGE_BYTES / 2;
 /// Idle time after which a connection without open set-ups and without calls is closed. Callers close theirs after 4 s.
 ///
 /// A connection on which calls were answered that are up is never closed as idle, since its caller may have no reason to
@@ -78,6 +80,8 @@
     number: u64,
     input: Buffer,
     output: Vec<u8>,
+    /// This connection's share of the unsent output of all connections, in bytes.
+    output_share: CountShare,
     open_set_ups: OpenSetUps,
     /// Total number of bytes written.
     bytes_written: u64,
@@ -117,6 +121,7 @@
         number,
         input: Buffer::default(),
         output: Vec::new(),
+        output_share: server.output_bytes.share(),
         open_set_ups: OpenSetUps::new(&server.open_bytes),
         bytes_written: 0,
         unwritten_answers: VecDeque::new(),
@@ -213,10 +218,39 @@
         !self.input.unconsumed().is_empty() && !self.partial_is_overdue
     }
 
+    /// Writes as much of the output as the socket takes.
+    fn write_output(&mut self, stream: &TcpStream) -> io::Result<()> {
+        match stream.try_write(&self.output) {
+            Ok(count) => {
+                buffer::discard_written(&mut self.output, count);
+                self.bytes_written += count as u64;
+                while self.unwritten_answers.front().is_some_and(|(end, _)| *end <= self.bytes_written) {
+                    self.unwritten_answers.pop_front();
+                }
+            }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            Err(error) => return Err(error),
+        }
+        self.output_share.set(self.output.len());
+        Ok(())
+    }
+
+    /// Bytes of unsent output above which the connection is closed.
+    fn max_output_bytes(&self) -> usize {
+        match self.server.output_bytes.count() > self.server.max_output_bytes {
+            true => MAX_SCARCE_OUTPUT_BYTES,
+            false => MAX_OUTPUT_BYTES,
+        }
+    }
+
     /// Runs the connection until it has to be closed.
     async fn run(&mut self, stream: &TcpStream, commands: &mut mpsc::Receiver<Command>) -> CloseReason {
         loop {
+            // Responses are written before the yields: with many connections in a flood, all of them would hold theirs.
             if std::mem::take(&mut self.sent_part) {
+                if self.write_output(stream).is_err() {
+                    return CloseReason::Disconnected;
+                }
                 self.yield_to_core(commands).await;
             }
             // Set-ups received before an unparsable message are open, and would otherwise get no final response.
@@ -225,16 +259,8 @@
             }
             let has_open = !self.open_set_ups.is_empty();
             let message_deadline = self.partial_since.map(|since| since + MESSAGE_TIMEOUT);
-            match stream.try_write(&self.output) {
-                Ok(count) => {
-                    self.output.drain(..count);
-                    self.bytes_written += count as u64;
-                    while self.unwritten_answers.front().is_some_and(|(end, _)| *end <= self.bytes_written) {
-                        self.unwritten_answers.pop_front();
-                    }
-                }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Err(_) => return CloseReason::Disconnected,
+            if self.write_output(stream).is_err() {
+                return CloseReason::Disconnected;
             }
             self.releases.on_written(Instant::now(), self.bytes_written);
             let has_calls = self.publish_state(has_open || self.awaits_rest_of_message());
@@ -242,7 +268,7 @@
             let may_time_out =
                 message_deadline.is_some() && !self.is_closing && !(has_calls && self.partial_is_overdue);
             self.outstanding_share.set(self.outstanding_count());
-            if self.output.len() > MAX_OUTPUT_BYTES {
+            if self.output.len() > self.max_output_bytes() {
                 return CloseReason::Unread;
             }
             if self.is_closing && self.output.is_empty() {
--- a/src/net/sip_server/mod.rs
+++ b/src/net/sip_server/mod.rs
@@ -17,6 +17,8 @@
 
 /// Maximum number of open set-ups per connection.
 const MAX_OPEN_SET_UPS: usize = 4096;
+/// Part of the memory for open set-ups that unsent output may take as well, before connections with much of it close.
+const OUTPUT_DIVISOR: usize = 2;
 /// Number of idle connections asked to close at a time when descriptors are short.
 const EVICTION_BATCH_SIZE: usize = 8;
 /// Delay before the next accept when descriptors have run out.
@@ -36,6 +38,9 @@
     /// Size of the open set-ups of all connections, in bytes.
     open_bytes: SharedCount,
     max_open_bytes: usize,
+    /// Unsent output of all connections, in bytes.
+    output_bytes: SharedCount,
+    max_output_bytes: usize,
     max_connections: usize,
 }
 
@@ -84,7 +89,7 @@
     // Callers are expected to use a third of the descriptors. Up to half are allowed as long as the rest is unused.
     let max_connections = sockets / 2;
     let registry = Mutex::default();
-    let (pending_bytes, open_bytes) = (SharedCount::default(), SharedCount::default());
+    let [pending_bytes, open_bytes, output_bytes] = [(); 3].map(|()| SharedCount::default());
     let server = Arc::new(Server {
         id,
         listen,
@@ -96,6 +101,8 @@
         pending_bytes,
         open_bytes,
         max_open_bytes,
+        output_bytes,
+        max_output_bytes: max_open_bytes / OUTPUT_DIVISOR,
         max_connections,
     });
     let router = server.clone();
--- a/tests/memory_limit.rs
+++ b/tests/memory_limit.rs
@@ -55,3 +55,12 @@
         set_up_with(call, &SHORT_FIELD.repeat(200))
     });
 }
+
+/// Connections held the responses to a flood while they waited for the core, and their buffers for good.
+#[test]
+fn responses_of_hundreds_of_connections_do_not_exhaust_the_memory() {
+    let sockets = 1024;
+    assert_memory_stays_within_limit(sockets as usize / 3, 8, sockets, |call| {
+        request("OPTIONS", call, &SHORT_FIELD.repeat(3_000), b"")
+    });
+}
