Pace and bound the releases of calls that the program does not know

Cause: such a call may be from before the start, so its release goes to all hubs; each was queued for each hub at once, and a connection's queue has no bound. The names went into the memory of ended calls, too, as those of set-ups did that were refused without an attempt, and displaced the ones that a hub may still name.

IAX2 was read only: its front has a bound of 8,192 calls.

Change: core/unknown_releases holds 8,192 of them and passes 800 a second on, each call once; links drop them while 1,024 messages wait. core/recent_calls is the memory of names, once for calls that were at a hub and once for unknown ones. tests/core.rs: such a release is passed on at the next tick, under its own command, and once.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -6,8 +6,10 @@
 //! per call, one attempt at a time, the release pause between attempts, and no new set-ups to a drained hub.
 
 pub mod outcome;
+mod recent_calls;
 pub mod timer_wheel;
 mod types;
+mod unknown_releases;
 
 pub use types::*;
 
@@ -17,11 +19,13 @@
 use crate::metrics;
 use crate::Controller;
 use outcome::ObservedEnd;
+use recent_calls::RecentCalls;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 use timer_wheel::{TimerKey, TimerWheel, TICK_LENGTH};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Duration, Instant, MissedTickBehavior};
+use unknown_releases::UnknownReleases;
 
 /// Capacity of the queue of inputs. Socket code waits while it is full.
 pub const INPUT_QUEUE_CAPACITY: usize = 4096;
@@ -190,6 +194,8 @@
     pub stopping: bool,
     /// Number of calls that still wait for their final answer.
     pub unanswered: usize,
+    /// Number of callers' releases that wait to be passed on to hubs.
+    pub unsent_releases: usize,
 }
 
 /// Current load of this process, as reported to other controllers.
@@ -227,8 +233,9 @@
     unanswered: usize,
     /// Total size of the open set-ups.
     open_bytes: usize,
-    ended_calls: HashMap<CallName, Micros>,
-    ended_calls_by_age: VecDeque<(CallName, Micros)>,
+    /// Calls that were at a hub and are over, or that a hub released and this process does not know.
+    ended_calls: RecentCalls,
+    unknown_releases: UnknownReleases,
     hubs: Vec<HubState>,
     hub_by_uid: HashMap<Arc<str>, usize>,
     hub_by_id: BTreeMap<ServerId, usize>,
@@ -283,8 +290,8 @@
             call_by_name: HashMap::new(),
             unanswered: 0,
             open_bytes: 0,
-            ended_calls: HashMap::new(),
-            ended_calls_by_age: VecDeque::new(),
+            ended_calls: RecentCalls::new(ENDED_CALL_RETENTION, MAX_ENDED_CALLS),
+            unknown_releases: UnknownReleases::default(),
             hubs: Vec::new(),
             hub_by_uid: HashMap::new(),
             hub_by_id: BTreeMap::new(),
@@ -456,9 +463,8 @@
                 }
             }
         }
-        while self.ended_calls_by_age.front().is_some_and(|(_, at)| *at + ENDED_CALL_RETENTION < now) {
-            self.forget_oldest_ended_call();
-        }
+        self.ended_calls.forget_expired(now);
+        self.pass_on_unknown_releases(now);
         if self.export.as_ref().is_some_and(|e| e.next_at <= now || e.collector.is_some()) {
             self.collect_state(now, HUBS_COLLECTED_PER_TICK);
         }
@@ -468,7 +474,9 @@
         }
         let previous = *self.status.borrow();
         let ready = previous.ready || self.started + READY_TIMEOUT <= now || self.has_initial_state();
-        let status = Status { ready, stopping: self.stopping, unanswered: self.unanswered };
+        let unanswered = self.unanswered;
+        let unsent_releases = self.unknown_releases.len();
+        let status = Status { ready, stopping: self.stopping, unanswered, unsent_releases };
         if status != previous {
             self.status.send_replace(status);
         }
@@ -570,12 +578,9 @@
 
     fn handle_hangup(&mut self, now: Micros, front: FrontId, name: CallName, cause: Cause) {
         let Some(id) = self.call_by_name.get(&name).copied() else {
-            // The call may have been set up before this process started. The hub that holds it is not known,
-            // so all hubs get the release.
-            if !self.ended_calls.contains_key(&name) {
-                let links: Vec<LinkId> = self.hub_by_link.keys().copied().collect();
-                links.into_iter().for_each(|link| self.to_hub(link, ToHub::Release(name, cause)));
-                self.remember_ended_call(now, name);
+            // The call may have been set up before this process started.
+            if !self.ended_calls.contains(name) && !self.unknown_releases.add(now, name, cause) {
+                metrics::UNKNOWN_RELEASES_DROPPED.increment();
             }
             return;
         };
@@ -588,6 +593,18 @@
         // may end the set-up.
     }
 
+    /// Passes releases of calls that this process does not know on to all hubs, since any of them may hold the call.
+    fn pass_on_unknown_releases(&mut self, now: Micros) {
+        let due = self.unknown_releases.take_due(now);
+        if due.is_empty() {
+            return;
+        }
+        let links: Vec<LinkId> = self.hub_by_link.keys().copied().collect();
+        for (name, cause) in due {
+            links.iter().for_each(|link| self.to_hub(*link, ToHub::ReleaseUnknown(name, cause)));
+        }
+    }
+
     // ---- hubs ----
 
     fn handle_hub_event(&mut self, now: Micros, link: LinkId, event: FromHub) {
@@ -611,11 +628,11 @@
                     self.forward_load_report(now, index, report);
                     // The call may have been set up before this process started, so all fronts get the
                     // release. A call that already ended here must not be released a second time.
-                    if !self.call_by_name.contains_key(&name) && !self.ended_calls.contains_key(&name) {
+                    if !self.call_by_name.contains_key(&name) && !self.has_ended(name) {
                         for front in 0..self.fronts.len() {
                             self.to_front(FrontId(front), ToFront::Release(None, name, cause));
                         }
-                        self.remember_ended_call(now, name);
+                        self.ended_calls.record(now, name);
                     }
                     return;
                 };
@@ -735,7 +752,7 @@
             // The answer crossed the give-up, or the call has ended. The hub holds a call without a caller,
             // so the call is released there and the answer is not passed on. A give-up that is still to be
             // written releases the call as well.
-            _ if id.is_some() || self.ended_calls.contains_key(&name) => {
+            _ if id.is_some() || self.has_ended(name) => {
                 self.to_hub(link, ToHub::Release(name, Cause::NORMAL));
             }
             // An answer for an unknown call has no meaning and is ignored.
@@ -852,25 +869,17 @@
         if self.calls.get(&id).is_some_and(|c| c.answered && c.attempt.is_none()) {
             if let Some(call) = self.calls.remove(&id) {
                 self.call_by_name.remove(&call.name);
-                self.remember_ended_call(now, call.name);
+                // A call that was never sent to a hub needs no memory, and a flood of these would displace the others.
+                if call.attempts_sent > 0 {
+                    self.ended_calls.record(now, call.name);
+                }
             }
         }
     }
 
-    fn remember_ended_call(&mut self, now: Micros, name: CallName) {
-        self.ended_calls.insert(name, now);
-        self.ended_calls_by_age.push_back((name, now));
-        if self.ended_calls_by_age.len() > MAX_ENDED_CALLS {
-            self.forget_oldest_ended_call();
-        }
-    }
-
-    fn forget_oldest_ended_call(&mut self) {
-        if let Some((name, at)) = self.ended_calls_by_age.pop_front() {
-            if self.ended_calls.get(&name) == Some(&at) {
-                self.ended_calls.remove(&name);
-            }
-        }
+    /// Whether the call ended here, or was released by its caller, not long ago.
+    fn has_ended(&self, name: CallName) -> bool {
+        self.ended_calls.contains(name) || self.unknown_releases.contains(name)
     }
 
     // ---- hub list ----
--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -140,6 +140,8 @@
     GiveUp(CallName, u64),
     /// Release an established call, or a call whose answer came too late.
     Release(CallName, Cause),
+    /// Release a call that was set up before this process started, if the hub holds it.
+    ReleaseUnknown(CallName, Cause),
     /// Start no set-up after this time; `None` lifts the restriction.
     SetUpCutoff(Option<Micros>),
     /// A media frame of an established call.
--- a/src/iax2/hub.rs
+++ b/src/iax2/hub.rs
@@ -109,7 +109,9 @@
                 }
                 self.events.push(FromHub::GivenUp { attempt, call, began: true });
             }
-            ToHub::Release(call, cause) => self.hang_up(now, call, EndReason::Released(cause)),
+            ToHub::Release(call, cause) | ToHub::ReleaseUnknown(call, cause) => {
+                self.hang_up(now, call, EndReason::Released(cause))
+            }
             ToHub::SetUpCutoff(at) => self.set_up_cutoff = at,
             ToHub::Media(call, description) => {
                 let local = self.by_name.get(&call);
--- a/src/main.rs
+++ b/src/main.rs
@@ -301,7 +301,8 @@
     while Instant::now() < end && (idle_since.elapsed() < MIN_IDLE_TIME || idle_checks < MIN_IDLE_CHECKS) {
         sleep(IDLE_CHECK_INTERVAL).await;
         idle_checks += 1;
-        if status.borrow().unanswered > 0 || outstanding.count() > 0 {
+        let Status { unanswered, unsent_releases, .. } = *status.borrow();
+        if unanswered + unsent_releases + outstanding.count() > 0 {
             (idle_since, idle_checks) = (Instant::now(), 0);
         }
     }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -71,6 +71,8 @@
 pub static RELEASES_REPEATED: Counter = Counter::new();
 /// Releases that could not be delivered on any connection of a caller in time.
 pub static RELEASES_LOST: Counter = Counter::new();
+/// Releases by callers of calls unknown to this process that were not passed on, because too many waited.
+pub static UNKNOWN_RELEASES_DROPPED: Counter = Counter::new();
 
 /// Logs the counters.
 pub fn report() {
@@ -95,6 +97,7 @@
         releases_sent = RELEASES_SENT.get(),
         releases_repeated = RELEASES_REPEATED.get(),
         releases_lost = RELEASES_LOST.get(),
+        unknown_releases_dropped = UNKNOWN_RELEASES_DROPPED.get(),
         "metrics"
     );
 }
--- a/src/net/hub.rs
+++ b/src/net/hub.rs
@@ -17,6 +17,7 @@
 use crate::config::Limits;
 use crate::core::{CallName, Cause, Clock, FromHub, Input, LinkId, SetUp, ToHub};
 use crate::interface::Micros;
+use crate::metrics;
 use connection::{Connection, Outgoing};
 use dialling::MIN_DIAL_BACKOFF;
 use lifecycle::{EndReason, MESSAGE_TIMEOUT};
@@ -68,6 +69,8 @@
 /// Age up to which a release that waits for a connection is a reason to dial ahead of other hubs, and to delay a
 /// shutdown. An older one is sent on the next connection that opens for any reason.
 const URGENT_RELEASE_AGE: Duration = Duration::from_secs(10);
+/// Number of unsent messages from which on releases of unknown calls are dropped.
+const MAX_UNSENT_FOR_UNKNOWN_RELEASE: usize = 1024;
 /// Maximum number of releases that wait for a connection.
 const MAX_WAITING_RELEASES: usize = 8192;
 
@@ -237,12 +240,25 @@
                     }
                 }
             }
+            // At the limits it is dropped: callers can send any number of these, and a hub may not read.
+            ToHub::ReleaseUnknown(call, cause) => {
+                if self.unsent_messages() < MAX_UNSENT_FOR_UNKNOWN_RELEASE {
+                    self.handle_command(ToHub::Release(call, cause));
+                } else {
+                    metrics::UNKNOWN_RELEASES_DROPPED.increment();
+                }
+            }
             ToHub::SetUpCutoff(at) => self.set_up_cutoff = at,
             // Calls between different protocols carry no media.
             ToHub::Media(..) | ToHub::Close => {}
         }
     }
 
+    /// Number of releases that wait for a connection and messages that wait to be written.
+    fn unsent_messages(&self) -> usize {
+        self.waiting_releases.len() + self.connections.iter().map(|c| c.queue.len()).sum::<usize>()
+    }
+
     /// Withdraws a set-up that has not begun; otherwise queues a give-up on the connection that it was written to.
     fn give_up(&mut self, call: CallName, attempt: u64) {
         let given_up = |began| FromHub::GivenUp { attempt, call, began };
--- a/tests/memory_limit.rs
+++ b/tests/memory_limit.rs
@@ -11,6 +11,7 @@
 
 use flood_peers::*;
 use peers::*;
+use scripted_hub::ScriptedHub;
 
 /// A compact `Via`, the shortest header that responses repeat.
 const SHORT_FIELD: &str = "v:x\r\n";
@@ -64,3 +65,26 @@
         request("OPTIONS", call, &SHORT_FIELD.repeat(3_000), b"")
     });
 }
+
+/// Each release of a call under a new name was queued for every hub, without a bound where a hub reads nothing.
+#[test]
+fn releases_of_unknown_calls_do_not_exhaust_the_memory_while_hubs_read_nothing() {
+    let hub = AnsweringHub::start();
+    let silent_hubs: Vec<ScriptedHub> = (0..4).map(|_| ScriptedHub::with_small_receive_buffer()).collect();
+    let addresses = silent_hubs.iter().map(|hub| hub.address);
+    let targets: Vec<String> = std::iter::once(hub.address)
+        .chain(addresses)
+        .enumerate()
+        .map(|(n, address)| {
+            site_config::target(&format!("s-{n}"), &address.to_string(), n as i64, "in_service")
+        })
+        .collect();
+    let program = start_with_hubs(&targets, TIGHTEST_MEMORY_MB, TIGHTEST_SOCKETS);
+    let memory = MemoryWatch::start(&program);
+    let flood = Flood::start(program.address, 1, |_| {
+        (1..=300_000).flat_map(|call| request("BYE", call, "", b"")).collect()
+    });
+    assert_eq!(flood.finish(), 0, "every release is answered");
+    let peak = memory.peak_kib();
+    assert!(peak < TIGHTEST_MEMORY_MB * 1024, "{peak} KiB");
+}
