Remember what a call's attempts mean when it comes again under its name

Cause: whether a call may have run, and its release pause, went with the call's entry, so a set-up under the same name began afresh. While the give-up was under way it was refused, which says that nothing ran.

Change: core/past_attempts, bounded and with its own expiry: calls that must not run again are failed for as long as a caller may wait, and others wait for the pause. A set-up that comes while the attempt of such a call is given up is failed, not refused.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -6,6 +6,7 @@
 //! per call, one attempt at a time, the release pause between attempts, and no new set-ups to a drained hub.
 
 pub mod outcome;
+mod past_attempts;
 mod recent_calls;
 pub mod timer_wheel;
 mod types;
@@ -19,6 +20,7 @@
 use crate::metrics;
 use crate::Controller;
 use outcome::ObservedEnd;
+use past_attempts::PastAttempts;
 use recent_calls::RecentCalls;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
@@ -161,12 +163,19 @@
     fn must_not_repeat(&self) -> bool {
         self.idempotency != Idempotency::Free && self.may_have_run
     }
+
+    /// Whether an attempt is open that may run and must not be repeated.
+    fn has_open_single_attempt(&self) -> bool {
+        self.idempotency != Idempotency::Free && self.attempt.is_some()
+    }
 }
 
 /// What to do when a timer of the core fires.
 enum TimerEvent {
     /// A timer that the decision module asked for, with its call and token.
     Module(CallId, u64),
+    /// The end of the release pause of a call that came again after its caller had left.
+    Start(NewCall),
     /// The time-out of the attempt with this number.
     Attempt(CallId, u64),
     Deadline(CallId),
@@ -217,6 +226,8 @@
     names: WireNames,
     /// Idempotency and deadline of each class.
     classes: Vec<(Idempotency, Micros)>,
+    /// The longest time that a caller is taken to wait.
+    longest_wait: Micros,
     limits: Limits,
     max_attempts: u32,
     fronts: Vec<mpsc::Sender<ToFront>>,
@@ -236,6 +247,8 @@
     /// Calls that were at a hub and are over, or that a hub released and this process does not know.
     ended_calls: RecentCalls,
     unknown_releases: UnknownReleases,
+    /// What the attempts of ended calls mean for set-ups under the same names.
+    past_attempts: PastAttempts,
     hubs: Vec<HubState>,
     hub_by_uid: HashMap<Arc<str>, usize>,
     hub_by_id: BTreeMap<ServerId, usize>,
@@ -277,6 +290,7 @@
             controller: Controller::new(config.settings.clone(), config.seed, now)?,
             names: config.names.clone(),
             classes: config.settings.classes.iter().map(|c| (c.idempotency, c.deadline)).collect(),
+            longest_wait: longest_wait(&config.settings.classes),
             limits: config.limits.clone(),
             max_attempts: config.settings.max_attempts,
             fronts,
@@ -292,6 +306,7 @@
             open_bytes: 0,
             ended_calls: RecentCalls::new(ENDED_CALL_RETENTION, MAX_ENDED_CALLS),
             unknown_releases: UnknownReleases::default(),
+            past_attempts: PastAttempts::new(longest_wait(&config.settings.classes)),
             hubs: Vec::new(),
             hub_by_uid: HashMap::new(),
             hub_by_id: BTreeMap::new(),
@@ -435,6 +450,11 @@
                     }
                     self.dispatch(now, Event::Timer(token));
                 }
+                TimerEvent::Start(new_call) => {
+                    if self.calls.get(&new_call.id).is_some_and(|c| !c.answered) {
+                        self.dispatch(now, Event::Call(new_call));
+                    }
+                }
                 TimerEvent::Attempt(id, number) => {
                     let attempt =
                         self.calls.get(&id).filter(|c| !c.established).and_then(|c| c.attempt.as_ref());
@@ -464,6 +484,7 @@
             }
         }
         self.ended_calls.forget_expired(now);
+        self.past_attempts.forget_expired(now);
         self.pass_on_unknown_releases(now);
         if self.export.as_ref().is_some_and(|e| e.next_at <= now || e.collector.is_some()) {
             self.collect_state(now, HUBS_COLLECTED_PER_TICK);
@@ -499,12 +520,21 @@
         if let Some(known) = self.call_by_name.get(&offer.call).and_then(|id| self.calls.get(id)) {
             // A retransmission of an open set-up is ignored, because it is answered only once. One from
             // another connection, or of a call that is established or still being given up at a hub, must not
-            // start a second attempt, but its sender must get an answer.
+            // start a second attempt, but its sender must get an answer. A refusal would say that nothing ran.
             if known.answered || known.origin != offer.origin {
-                self.to_front(offer.front, ToFront::Refuse(offer.origin, offer.call, Micros(0)));
+                let may_run = known.must_not_repeat() || known.has_open_single_attempt();
+                let message = match known.answered && may_run {
+                    true => ToFront::Fail(offer.origin, offer.call),
+                    false => ToFront::Refuse(offer.origin, offer.call, Micros(0)),
+                };
+                self.to_front(offer.front, message);
             }
             return;
         }
+        if self.past_attempts.may_not_run_again(offer.call) {
+            metrics::CALLS_FAILED.increment();
+            return self.to_front(offer.front, ToFront::Fail(offer.origin, offer.call));
+        }
         if self.refuse_new_calls {
             metrics::CALLS_REFUSED.increment();
             return self.to_front(offer.front, ToFront::Refuse(offer.origin, offer.call, Micros(0)));
@@ -515,8 +545,7 @@
         else {
             return self.to_front(offer.front, ToFront::Fail(offer.origin, offer.call));
         };
-        let longest = self.classes.iter().map(|(_, deadline)| *deadline).fold(MAX_CALLER_WAIT, Micros::max);
-        let deadline = offer.deadline.unwrap_or(now + class_deadline).min(now + longest);
+        let deadline = offer.deadline.unwrap_or(now + class_deadline).min(now + self.longest_wait);
         // The number of calls alone does not bound the memory: set-ups of 16 KiB each would exhaust it long
         // before the table is full.
         let open_bytes = offer.open_bytes();
@@ -537,6 +566,7 @@
             returned: offer.returned,
             transit: false,
         };
+        let not_before = self.past_attempts.release_pause_end(offer.call);
         tracing::debug!(call = %offer.call, within_us = (deadline - now).0, "call accepted");
         self.open_bytes += open_bytes;
         self.unanswered += 1;
@@ -558,11 +588,16 @@
             attempt: None,
             attempts_sent: 0,
             may_have_run: false,
-            not_before: Micros(0),
+            not_before,
             timers: vec![deadline_timer],
         };
         self.calls.insert(id, call);
-        self.dispatch(now, Event::Call(new_call));
+        if now < not_before {
+            let timer = self.timers.add(not_before, TimerEvent::Start(new_call));
+            self.calls.entry(id).and_modify(|call| call.timers.push(timer));
+        } else {
+            self.dispatch(now, Event::Call(new_call));
+        }
     }
 
     fn handle_withdrawal(&mut self, now: Micros, front: FrontId, name: CallName) {
@@ -872,6 +907,7 @@
                 // A call that was never sent to a hub needs no memory, and a flood of these would displace the others.
                 if call.attempts_sent > 0 {
                     self.ended_calls.record(now, call.name);
+                    self.past_attempts.record(now, call.name, call.not_before, call.must_not_repeat());
                 }
             }
         }
@@ -1161,8 +1197,8 @@
     fn give_final_answer(&mut self, now: Micros, action: Action) {
         let (Action::Refuse(id, _) | Action::Fail(id)) = action else { return };
         let Some(call) = self.calls.get_mut(&id).filter(|c| !c.answered) else { return };
-        let open = call.idempotency != Idempotency::Free && call.attempt.is_some();
-        let action = if call.must_not_repeat() || open { Action::Fail(id) } else { action };
+        let action =
+            if call.must_not_repeat() || call.has_open_single_attempt() { Action::Fail(id) } else { action };
         let (front, origin, name) = (call.front, call.origin, call.name);
         self.mark_answered(id);
         tracing::debug!(call = %name, refused = matches!(action, Action::Refuse(..)), "call ended without an answer");
@@ -1197,6 +1233,11 @@
     }
 }
 
+/// The longest time that a caller is taken to wait for an answer.
+fn longest_wait(classes: &[Class]) -> Micros {
+    classes.iter().map(|class| class.deadline).fold(MAX_CALLER_WAIT, Micros::max)
+}
+
 /// Maps the number called to the key that the decision module uses: the value of its hexadecimal digits, or
 /// an FNV-1a hash of any other text.
 fn number_key(text: &str) -> Option<u64> {
