Hold set-ups until their socket is drained, however much is unread

Cause: set-ups were held for a FIN or CANCEL behind them, but only for 192 KiB of input; a socket and its sender hold megabytes.

Ruled out: queues behind the socket, whose withdrawals overtake set-ups; recognising the FIN, as shorter backlogs pass.

Change: connection/pending_offers replaces pending_inputs. A CANCEL removes a held set-up.

--- a/src/net/sip_server/connection.rs
+++ b/src/net/sip_server/connection.rs
@@ -2,10 +2,10 @@
 
 mod messages;
 mod open_set_ups;
-mod pending_inputs;
+mod pending_offers;
 
 use self::open_set_ups::OpenSetUps;
-use self::pending_inputs::PendingInputs;
+use self::pending_offers::PendingOffers;
 use super::registry::Command;
 use super::release_tracker::ReleaseTracker;
 use super::Server;
@@ -101,8 +101,8 @@
     last_used: Instant,
     /// Nothing more is read, and the connection closes once the output is written.
     is_closing: bool,
-    /// Inputs parsed and not yet sent to the core.
-    pending: PendingInputs,
+    /// Set-ups read and not yet sent to the core.
+    pending: PendingOffers,
     /// Part of a flood was sent to the core, whose answers are awaited before more is read.
     sent_part: bool,
     /// This connection's share of the outstanding work, for which a shutdown waits.
@@ -132,7 +132,7 @@
         partial_is_overdue: false,
         last_used: Instant::now(),
         is_closing: false,
-        pending: PendingInputs::new(&server.pending_bytes),
+        pending: PendingOffers::default(),
         sent_part: false,
         outstanding_share: server.outstanding.share(),
     };
@@ -145,7 +145,7 @@
         metrics::CALLER_CONNECTIONS_CLOSED_WITH_CALLS.increment();
     }
     commands.close();
-    connection.flush_pending().await;
+    connection.refuse_pending_offers();
     let unsent = connection.write_last_refusals(&stream, &mut commands).await;
     let Connection {
         mut open_set_ups,
@@ -205,7 +205,7 @@
 }
 
 impl Connection {
-    /// Number of items of outstanding work: open set-ups, unsent output, a partial message and pending inputs.
+    /// Number of items of outstanding work: open set-ups, unsent output, a partial message and pending set-ups.
     fn outstanding_count(&self) -> usize {
         self.open_set_ups.len()
             + usize::from(!self.output.is_empty())
@@ -377,20 +377,18 @@
     /// before it are seen at the same moment, and closing the connection as idle would lose a set-up in the socket.
     ///
     /// A caller may have disconnected before its requests are read, and then no attempt may be made for them. Its FIN or
-    /// its CANCEL may be behind them in the socket, so inputs stay pending, within limits, until the socket is drained.
+    /// its CANCEL may be behind them in the socket, so set-ups stay pending until the socket is drained; see
+    /// [`pending_offers`].
     async fn read(&mut self, stream: &TcpStream) -> ReadOutcome {
-        let mut inputs = self.pending.take();
+        let mut inputs = Vec::new();
         let (outcome, is_drained) = self.read_socket(stream, &mut inputs);
         if matches!(outcome, ReadOutcome::Closed) {
-            self.drop_unsent_offers(&mut inputs);
+            self.refuse_pending_offers();
         }
         let has_more = matches!(outcome, ReadOutcome::Data) && !is_drained && !self.is_closing;
-        if has_more && self.pending.has_room() {
-            self.pending.put(inputs);
-            self.outstanding_share.set(self.outstanding_count());
-            return outcome;
+        if !has_more || !self.pending.may_wait(Instant::now()) {
+            inputs.extend(self.pending.take().into_iter().map(Input::Offer));
         }
-        self.pending.clear();
         // Updated before the first await: the process may be about to exit and checks the outstanding work.
         self.outstanding_share.set(self.outstanding_count());
         for input in inputs {
@@ -410,7 +408,6 @@
                     self.last_used = Instant::now();
                     self.last_received = Some(self.last_used);
                     self.releases.on_read(self.last_used);
-                    self.pending.add_bytes(count);
                     self.handle_messages(self.server.clock.now(), inputs);
                     if self.is_closing {
                         break;
@@ -428,20 +425,14 @@
         (outcome, false)
     }
 
-    /// Drops set-ups that were not sent to the core, because their caller has disconnected.
-    fn drop_unsent_offers(&mut self, inputs: &mut Vec<Input>) {
-        inputs.retain(
-            |input| !matches!(input, Input::Offer(offer) if self.open_set_ups.remove(offer.call).is_some()),
-        );
-    }
-
-    /// Sends the pending inputs to the core when the connection closes, except set-ups.
-    async fn flush_pending(&mut self) {
-        let mut inputs = self.pending.take();
-        self.pending.clear();
-        self.drop_unsent_offers(&mut inputs);
-        for input in inputs {
-            self.server.send_to_core(input).await;
+    /// Refuses the set-ups that were not sent to the core, because their caller has disconnected. If it only shut its side
+    /// for writing, it still reads the responses.
+    fn refuse_pending_offers(&mut self) {
+        for offer in self.pending.take() {
+            let Some(set_up) = self.open_set_ups.remove(offer.call) else { continue };
+            if self.output.len() < MAX_OUTPUT_BYTES {
+                self.respond((503, "Service Unavailable"), &set_up.headers, &[], &[]);
+            }
         }
     }
 
--- a/src/net/sip_server/connection/messages.rs
+++ b/src/net/sip_server/connection/messages.rs
@@ -43,7 +43,7 @@
                 Ok(offer) if self.takes_set_up(&offer) => {
                     let bytes = offer.open_bytes();
                     self.open_set_ups.insert(call, OpenSetUp { headers, bytes });
-                    inputs.push(Input::Offer(offer));
+                    self.pending.push(Instant::now(), offer);
                 }
                 Ok(_) => self.respond((503, "Service Unavailable"), &headers, &[], &[]),
                 Err(()) => self.respond((400, "Bad Request"), &headers, &[], &[]),
@@ -52,7 +52,9 @@
                 Some(set_up) => {
                     self.respond((200, "OK"), &headers, &[], &[]);
                     self.respond((487, "Request Terminated"), &set_up.headers, &[], &[]);
-                    inputs.push(Input::Withdrawn(id, origin, call));
+                    if !self.pending.remove(call) {
+                        inputs.push(Input::Withdrawn(id, origin, call));
+                    }
                 }
                 None => self.respond((481, "Call/Transaction Does Not Exist"), &headers, &[], &[]),
             },
@@ -63,7 +65,9 @@
                 match self.open_set_ups.remove(call) {
                     Some(set_up) => {
                         self.respond((487, "Request Terminated"), &set_up.headers, &[], &[]);
-                        inputs.push(Input::Withdrawn(id, origin, call));
+                        if !self.pending.remove(call) {
+                            inputs.push(Input::Withdrawn(id, origin, call));
+                        }
                     }
                     None => {
                         self.server.registry().call_ended(call);
@@ -85,7 +89,7 @@
     fn takes_set_up(&self, offer: &Offer) -> bool {
         self.open_set_ups.len() < MAX_OPEN_SET_UPS
             && !self.open_set_ups.contains(offer.call)
-            && self.open_set_ups.total_bytes() + offer.open_bytes() <= self.server.max_open_bytes
+            && self.open_set_ups.has_room(offer.open_bytes(), self.server.max_open_bytes)
     }
 
     /// Parses the set-up of an INVITE; the error means that a header or the request URI is invalid.
--- a/src/net/sip_server/connection/open_set_ups.rs
+++ b/src/net/sip_server/connection/open_set_ups.rs
@@ -5,6 +5,10 @@
 use crate::net::sip::ResponseHeaders;
 use std::collections::HashMap;
 
+/// Part of the memory for the open set-ups of all connections that those of one connection may take, so that a flood on
+/// it leaves room for others.
+const CONNECTION_DIVISOR: usize = 4;
+
 /// A set-up that has no final response yet.
 pub struct OpenSetUp {
     /// The request headers that its responses repeat.
@@ -43,9 +47,10 @@
         self.by_call.contains_key(&call)
     }
 
-    /// Size of the open set-ups of all connections, in bytes.
-    pub fn total_bytes(&self) -> usize {
-        self.total.count()
+    /// Whether a set-up of this size may be added, where those of all connections may take `max_total_bytes`.
+    pub fn has_room(&self, bytes: usize, max_total_bytes: usize) -> bool {
+        self.total.count() + bytes <= max_total_bytes
+            && self.bytes + bytes <= max_total_bytes / CONNECTION_DIVISOR
     }
 
     /// Adds a set-up, whose call must not be open.
--- a/src/net/sip_server/mod.rs
+++ b/src/net/sip_server/mod.rs
@@ -33,8 +33,6 @@
     status: watch::Receiver<Status>,
     registry: Mutex<ConnectionRegistry>,
     outstanding: SharedCount,
-    /// Bytes that connections have read and not yet sent to the core.
-    pending_bytes: SharedCount,
     /// Size of the open set-ups of all connections, in bytes.
     open_bytes: SharedCount,
     max_open_bytes: usize,
@@ -89,7 +87,7 @@
     // Callers are expected to use a third of the descriptors. Up to half are allowed as long as the rest is unused.
     let max_connections = sockets / 2;
     let registry = Mutex::default();
-    let [pending_bytes, open_bytes, output_bytes] = [(); 3].map(|()| SharedCount::default());
+    let [open_bytes, output_bytes] = [(); 2].map(|()| SharedCount::default());
     let server = Arc::new(Server {
         id,
         listen,
@@ -98,7 +96,6 @@
         status,
         registry,
         outstanding,
-        pending_bytes,
         open_bytes,
         max_open_bytes,
         output_bytes,
--- a/tests/abandoned_calls.rs
+++ b/tests/abandoned_calls.rs
@@ -714,3 +714,38 @@
         assert_eq!(answer_status(party.caller.as_mut().expect("connected"), party.call), 200);
     }
 }
+
+/// Number of bytes of set-ups that are written before the caller closes its connection: many times what the program reads
+/// before it passes set-ups on.
+const LONG_BACKLOG_BYTES: usize = 1024 * 1024;
+
+/// The program passed on what it had read of a long backlog, although the caller had closed its connection behind it.
+#[test]
+fn a_backlog_of_megabytes_begins_no_attempt_after_its_connection_is_closed() {
+    let mut hubs = [ScriptedHub::new()];
+    let program = start_program(&[hubs[0].target(0)], |text| text);
+    let mut party = Party::connect(&program, 0, Some(Abandonment::Close));
+    let caller = party.caller.as_mut().expect("connected");
+    caller.send("OPTIONS", 0, "", b"");
+    assert_eq!(answer_status(caller, 0), 200);
+    program.pause();
+    caller.stream.set_nonblocking(true).expect("set");
+    let (mut written, mut count) = (0, 0);
+    while written < LONG_BACKLOG_BYTES {
+        let set_up = invite_request(count + 1, ANSWER_WITHIN_MS, 0);
+        // What the kernel does not take whole cannot be completed while the program is stopped.
+        match caller.stream.write(&set_up) {
+            Ok(bytes) if bytes == set_up.len() => (written, count) = (written + bytes, count + 1),
+            _ => break,
+        }
+    }
+    party.abandon();
+    sleep(DETECTION_TIME);
+    program.resume();
+    let _marker = set_up_marker_call(&program, &mut hubs, 0x9000_0000);
+    sleep(DETECTION_TIME);
+    hubs[0].receive();
+    let is_abandoned = |message: &&ReceivedMessage| message.kind == kind::SET_UP && message.call <= count;
+    let sent = hubs[0].received.iter().filter(is_abandoned).count();
+    assert_eq!(sent, 0, "how many of {count} abandoned set-ups reached the hub");
+}
