Probe each call at an IAX2 hub by itself

Cause: calls were tied to the address. Any frame from it counted as life for all of them, and one PING asked about one call. A mini frame went to the first call with its number.

Ruled out: the retransmission of the transport, which works and is what ended the calls; INVAL, which ends the call that it names.

Change: check_liveness keeps last frame and PING per call; a silent call at a live hub ends. A number given to a second call ends the first.

--- a/src/iax2/hub.rs
+++ b/src/iax2/hub.rs
@@ -51,6 +51,11 @@
     format: u32,
     state: State,
     media: MediaStream,
+    /// When the hub's latest full frame of this call was received. A mini frame names its call by the hub's number alone,
+    /// which another process may have given to another call.
+    heard_at: Micros,
+    /// Time of the call's liveness PING, if no full frame of the call was received since.
+    pinged_at: Option<Micros>,
 }
 
 /// The state of the link's calls.
@@ -63,8 +68,6 @@
     set_up_cutoff: Option<Micros>,
     /// Time of the latest datagram from the hub.
     last_received: Micros,
-    /// Time of the liveness PING, if nothing was received since.
-    pinged_at: Option<Micros>,
     /// Datagrams waiting to be sent.
     pub datagrams: Vec<Vec<u8>>,
     /// Events waiting to be sent to the core.
@@ -163,6 +166,8 @@
             format,
             state: State::Pending,
             media: MediaStream::default(),
+            heard_at: now,
+            pinged_at: None,
         };
         self.datagrams.extend(call.session.send(now, kind::IAX, iax::NEW, &data));
         self.by_name.insert(set_up.call, local);
@@ -191,7 +196,7 @@
     /// Processes a datagram.
     pub fn receive(&mut self, now: Micros, datagram: &[u8]) {
         let Some(parsed) = frame::parse(datagram) else { return };
-        (self.last_received, self.pinged_at) = (now, None);
+        self.last_received = now;
         match parsed {
             Frame::Full(full) => {
                 let call = self.calls.get(&full.destination);
@@ -211,7 +216,8 @@
             Frame::Mini { source, .. } => {
                 let is_established =
                     |c: &&mut Call| c.state == State::Established && c.session.remote == source;
-                if let Some(call) = self.calls.values_mut().find(is_established) {
+                let established = self.calls.values_mut().filter(is_established);
+                if let Some(call) = established.max_by_key(|call| call.attempt) {
                     let media = call.media.receive(&parsed);
                     self.events.extend(media.map(|m| FromHub::Media(call.name, m.to_description())));
                 }
@@ -221,7 +227,13 @@
 
     fn on_call_frame(&mut self, now: Micros, local: u16, full: &FullFrame) {
         let Some(call) = self.calls.get_mut(&local) else { return };
+        let is_first = call.session.remote == 0;
         let outcome = call.session.receive(now, full, &mut self.datagrams);
+        (call.heard_at, call.pinged_at) = (now, None);
+        if is_first && call.session.remote != 0 {
+            self.end_calls_with_reused_number(now, local);
+        }
+        let Some(call) = self.calls.get_mut(&local) else { return };
         let (name, attempt, state) = (call.name, call.attempt, call.state);
         if let State::Ended(_) = state {
             if outcome == ReceiveOutcome::UnknownCall {
@@ -335,27 +347,68 @@
         self.check_liveness(now);
     }
 
-    /// Sends a PING to a hub that is silent while calls are established, and declares it dead if it stays silent. The
+    /// Ends the earlier calls to which the hub had given the number that it gives to this one. The hub has forgotten them,
+    /// as a process does that has taken the place of another.
+    fn end_calls_with_reused_number(&mut self, now: Micros, local: u16) {
+        let Some(remote) = self.calls.get(&local).map(|call| call.session.remote) else { return };
+        let is_earlier = |(number, call): &(&u16, &Call)| {
+            **number != local && call.session.remote == remote && !matches!(call.state, State::Ended(_))
+        };
+        let earlier: Vec<u16> = self.calls.iter().filter(is_earlier).map(|(number, _)| *number).collect();
+        for number in earlier {
+            self.end_forgotten_call(now, number);
+        }
+    }
+
+    /// Ends a call that the hub does not know any more. Nothing is sent for it, as its number at the hub may be another
+    /// call's.
+    fn end_forgotten_call(&mut self, now: Micros, local: u16) {
+        let Some(call) = self.calls.get_mut(&local) else { return };
+        let event = match call.state {
+            State::Pending => FromHub::ConnectionLost(call.name, call.attempt),
+            _ => {
+                let (cause, note) = (Cause::TEMPORARY_FAILURE, RefusalNote::None);
+                FromHub::Released(call.name, cause, note, Report::default())
+            }
+        };
+        call.state = State::Ended(now + LINGER_TIMEOUT);
+        call.session.discard_unacknowledged();
+        self.by_name.remove(&call.name);
+        self.events.push(event);
+    }
+
+    /// Sends a PING in each established call that is silent. A call that stays silent is over, also where the hub goes on
+    /// with others: another process may have taken its place. If the hub is silent altogether, it is declared dead. The
     /// transport of a call alone would give the hub up only half a minute later.
     fn check_liveness(&mut self, now: Micros) {
-        let Some(call) = self.calls.values_mut().find(|call| call.state == State::Established) else {
+        let mut silent = Vec::new();
+        for (local, call) in self.calls.iter_mut().filter(|(_, call)| call.state == State::Established) {
+            let silence = now - call.heard_at;
+            match call.pinged_at {
+                None if silence >= SILENCE_BEFORE_PING => {
+                    self.datagrams.extend(call.session.send(now, kind::IAX, iax::PING, &[]));
+                    call.pinged_at = Some(now);
+                }
+                Some(pinged_at) if now - pinged_at >= PING_TIMEOUT && silence >= MAX_SILENCE => {
+                    silent.push(*local);
+                }
+                _ => {}
+            }
+        }
+        if silent.is_empty() {
             return;
-        };
+        }
         let silence = now - self.last_received;
-        match self.pinged_at {
-            None if silence >= SILENCE_BEFORE_PING => {
-                self.datagrams.extend(call.session.send(now, kind::IAX, iax::PING, &[]));
-                self.pinged_at = Some(now);
-            }
-            Some(pinged_at) if now - pinged_at >= PING_TIMEOUT && silence >= MAX_SILENCE => {
-                tracing::info!(
-                    silent_ms = silence.0 / 1000,
-                    calls = self.calls.len(),
-                    "IAX2 hub declared dead"
-                );
-                self.declare_dead();
-            }
-            _ => {}
+        if silence >= MAX_SILENCE {
+            tracing::info!(silent_ms = silence.0 / 1000, calls = self.calls.len(), "IAX2 hub declared dead");
+            return self.declare_dead();
+        }
+        tracing::info!(
+            calls = silent.len(),
+            "calls at the IAX2 hub cut: they are silent while the hub is not"
+        );
+        for local in silent {
+            self.end_forgotten_call(now, local);
         }
     }
 
@@ -377,7 +430,6 @@
             }
         }
         self.by_name.clear();
-        self.pinged_at = None;
         self.events.push(FromHub::Dead);
     }
 }
