--- a/tests/memory_limit.rs
+++ b/tests/memory_limit.rs
@@ -12,7 +12,11 @@
 use flood_peers::*;
 use peers::*;
 use scripted_hub::ScriptedHub;
+use std::sync::atomic::Ordering;
+use std::time::Instant;
 
+/// Releases of unknown calls that the program passes on to a hub in a second, at most.
+const RELEASES_PER_SECOND: usize = 800;
 /// A compact `Via`, the shortest header that responses repeat.
 const SHORT_FIELD: &str = "v:x\r\n";
 
@@ -81,10 +85,17 @@
         .collect();
     let program = start_with_hubs(&targets, TIGHTEST_MEMORY_MB, TIGHTEST_SOCKETS);
     let memory = MemoryWatch::start(&program);
+    let start = Instant::now();
     let flood = Flood::start(program.address, 1, |_| {
         (1..=300_000).flat_map(|call| request("BYE", call, "", b"")).collect()
     });
     assert_eq!(flood.finish(), 0, "every release is answered");
     let peak = memory.peak_kib();
     assert!(peak < TIGHTEST_MEMORY_MB * 1024, "{peak} KiB");
+    wait_until("a release at the hub that reads", || {
+        (hub.releases.load(Ordering::Relaxed) > 0).then_some(())
+    });
+    let releases = hub.releases.load(Ordering::Relaxed);
+    let most = RELEASES_PER_SECOND * (start.elapsed().as_secs() as usize + 2);
+    assert!(releases <= most, "{releases} releases at the hub, {most} allowed");
 }
